--- /dev/null
+++ b/cmd/ragworthitch/agent.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/ragworthitch/ragworthitch/agent"
+)
+
+type agentCmd struct{ part }
+
+func (*agentCmd) Name() string     { return "agent" }
+func (*agentCmd) Synopsis() string { return "run the agent beside a target" }
+func (*agentCmd) Usage() string {
+	return "agent -settings FILE -name TARGET\n\tHold the target's lease and relay its work to entries.\n"
+}
+func (c *agentCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
+
+func (c *agentCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfg, err := c.load()
+	if err != nil {
+		return fail(err)
+	}
+	t, err := cfg.Target(c.name)
+	if err != nil {
+		return fail(err)
+	}
+	log := logger(cfg, "agent-"+t.Name, t.Zone)
+	a, err := agent.New(cfg, t.Name, log)
+	if err != nil {
+		return fail(err)
+	}
+	if err := a.Run(ctx); err != nil {
+		return fail(err)
+	}
+	log.Info().Msg("agent: stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/ragworthitch/engine.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"github.com/ragworthitch/ragworthitch/engine"
+	"github.com/ragworthitch/ragworthitch/settings"
+)
+
+type engineCmd struct{ part }
+
+func (*engineCmd) Name() string     { return "engine" }
+func (*engineCmd) Synopsis() string { return "run a stand-in model engine" }
+func (*engineCmd) Usage() string {
+	return "engine -settings FILE -name TARGET\n\tServe a stand-in model engine at the target's address.\n"
+}
+func (c *engineCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
+
+func (c *engineCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfg, err := c.load()
+	if err != nil {
+		return fail(err)
+	}
+	t, err := cfg.Target(c.name)
+	if err != nil {
+		return fail(err)
+	}
+	if t.Kind != settings.KindEngine {
+		return fail(fmt.Errorf("target %s is a %s, not an engine", t.Name, t.Kind))
+	}
+	log := logger(cfg, t.Name, t.Zone)
+	s := engine.NewStandIn(engine.StandInConfig{
+		Name: t.Name, Models: t.Models, Step: settings.Ms(cfg.Engine.StepMs), Batch: cfg.Engine.Batch,
+		CacheBlocks: cfg.Engine.CacheBlocks, LoadLag: settings.Ms(cfg.Engine.LoadLagMs),
+		RefuseFencing: t.Fencing == settings.FencingRefuse,
+	}, log)
+	stop := make(chan struct{})
+	go s.Run(stop)
+	defer close(stop)
+	log.Info().Str("listen", t.Listen).Msg("engine: started")
+	if err := serve(ctx, t.Listen, s.Handler()); err != nil {
+		return fail(err)
+	}
+	log.Info().Msg("engine: stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/ragworthitch/entry.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/ragworthitch/ragworthitch/entry"
+	"github.com/ragworthitch/ragworthitch/handlers"
+	"github.com/ragworthitch/ragworthitch/metrics"
+)
+
+type entryCmd struct{ part }
+
+func (*entryCmd) Name() string     { return "entry" }
+func (*entryCmd) Synopsis() string { return "run an entry instance" }
+func (*entryCmd) Usage() string {
+	return "entry -settings FILE -name ENTRY\n\tServe the caller API at the entry's address.\n"
+}
+func (c *entryCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
+
+func (c *entryCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfg, err := c.load()
+	if err != nil {
+		return fail(err)
+	}
+	self, err := cfg.Entry(c.name)
+	if err != nil {
+		return fail(err)
+	}
+	log := logger(cfg, self.Name, self.Zone)
+	scope, rep, closeScope := metrics.New(self.Name)
+	defer closeScope()
+	e, err := entry.New(cfg, self.Name, log, scope)
+	if err != nil {
+		return fail(err)
+	}
+	log.Info().Str("listen", self.Listen).Msg("entry: started")
+	if err := serve(ctx, self.Listen, handlers.New(e, rep), e.Run); err != nil {
+		return fail(err)
+	}
+	log.Info().Msg("entry: stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/ragworthitch/service.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/ragworthitch/ragworthitch/service"
+	"github.com/ragworthitch/ragworthitch/settings"
+)
+
+type serviceCmd struct{ part }
+
+func (*serviceCmd) Name() string     { return "service" }
+func (*serviceCmd) Synopsis() string { return "run a stand-in plain service" }
+func (*serviceCmd) Usage() string {
+	return "service -settings FILE -name TARGET\n\tServe a stand-in plain service at the target's address.\n"
+}
+func (c *serviceCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
+
+func (c *serviceCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	cfg, err := c.load()
+	if err != nil {
+		return fail(err)
+	}
+	t, err := cfg.Target(c.name)
+	if err != nil {
+		return fail(err)
+	}
+	if t.Kind != settings.KindService {
+		return fail(fmt.Errorf("target %s is a %s, not a service", t.Name, t.Kind))
+	}
+	log := logger(cfg, t.Name, t.Zone)
+	s := &service.StandIn{Name: t.Name, Latency: 2 * time.Millisecond}
+	log.Info().Str("listen", t.Listen).Msg("service: started")
+	if err := serve(ctx, t.Listen, s.Handler()); err != nil {
+		return fail(err)
+	}
+	log.Info().Msg("service: stopped")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/engine/standin.go
@@ -0,0 +1,349 @@
+package engine
+
+import (
+	"container/list"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+
+	"github.com/ragworthitch/ragworthitch"
+)
+
+// Sizes of the stand-in's work.
+const (
+	prefillPerStep = 512 // prompt tokens prefilled in one step
+	cachePrefix    = 64  // leading prompt words that make the cache key
+	loadHistory    = 64  // load snapshots kept to answer with a lag
+)
+
+type (
+	// StandIn is a model engine stand-in: continuous batching at a fixed
+	// step time, a bounded prefix cache, priorities, resume from a prefix,
+	// cancel, lagging load reports, fencing and fault switches.
+	StandIn struct {
+		cfg StandInConfig
+		log zerolog.Logger
+
+		mu        sync.Mutex
+		seqs      []*sequence
+		arrivals  int64
+		fencing   uint64
+		cache     *lru
+		pauseTill time.Time
+		history   []Load
+
+		stats struct{ generated, prefilled, cacheHits, completions, fenced atomic.Int64 }
+		exit  func(int)
+	}
+
+	// StandInConfig sets the stand-in's behaviour.
+	StandInConfig struct {
+		Name          string
+		Models        []string
+		Step          time.Duration
+		Batch         int
+		CacheBlocks   int
+		LoadLag       time.Duration
+		RefuseFencing bool // refuse orders with an old fencing number, else ignore it
+	}
+
+	sequence struct {
+		id       int64
+		priority int
+		prefill  int // steps of prefill left
+		next     int // offset of the next token
+		max      int
+		last     string
+		out      chan string
+		finished bool
+	}
+
+	lru struct {
+		max   int
+		order *list.List
+		items map[uint64]*list.Element
+	}
+)
+
+// NewStandIn returns an engine stand-in; Run drives its decode loop.
+func NewStandIn(cfg StandInConfig, log zerolog.Logger) *StandIn {
+	if cfg.Step <= 0 {
+		cfg.Step = 10 * time.Millisecond
+	}
+	if cfg.Batch <= 0 {
+		cfg.Batch = 32
+	}
+	return &StandIn{cfg: cfg, log: log, cache: &lru{max: max(cfg.CacheBlocks, 1), order: list.New(), items: map[uint64]*list.Element{}}, exit: os.Exit}
+}
+
+// Run steps the batch until stop is closed.
+func (s *StandIn) Run(stop <-chan struct{}) {
+	t := time.NewTicker(s.cfg.Step)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-t.C:
+			s.step(now)
+		}
+	}
+}
+
+// step decodes one token for each running sequence, highest priority first.
+func (s *StandIn) step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record(now)
+	if now.Before(s.pauseTill) {
+		return
+	}
+	slices.SortStableFunc(s.seqs, func(a, b *sequence) int {
+		if a.priority != b.priority {
+			return b.priority - a.priority
+		}
+		return int(a.id - b.id)
+	})
+	live := s.seqs[:0]
+	for i, q := range s.seqs {
+		if q.finished {
+			continue
+		}
+		live = append(live, q)
+		if i >= s.cfg.Batch {
+			continue // waits for a slot in the batch
+		}
+		if q.prefill > 0 {
+			q.prefill--
+			continue
+		}
+		tok := q.last // the first token, chosen on arrival
+		if q.next > 0 {
+			tok = ragworthitch.NextToken(q.last, q.next)
+		}
+		select {
+		case q.out <- tok:
+			q.last = tok
+			q.next++
+			s.stats.generated.Add(1)
+		default:
+			continue // the reader is behind; the token is made again next step
+		}
+		if q.next >= q.max {
+			q.finished = true
+			close(q.out)
+		}
+	}
+	s.seqs = live
+}
+
+func (s *StandIn) record(now time.Time) {
+	running, waiting := 0, 0
+	for i, q := range s.seqs {
+		if q.finished {
+			continue
+		}
+		if i < s.cfg.Batch {
+			running++
+		} else {
+			waiting++
+		}
+	}
+	s.history = append(s.history, Load{Running: running, Waiting: waiting, AtMs: now.UnixMilli()})
+	if len(s.history) > loadHistory {
+		s.history = s.history[len(s.history)-loadHistory:]
+	}
+}
+
+// Load returns the newest load snapshot that is at least LoadLag old.
+func (s *StandIn) Load(now time.Time) Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut := now.Add(-s.cfg.LoadLag).UnixMilli()
+	var l Load
+	for _, h := range s.history {
+		if h.AtMs > cut {
+			break
+		}
+		l = h
+	}
+	return l
+}
+
+// Stats returns the stand-in's counts.
+func (s *StandIn) Stats() Stats {
+	return Stats{
+		Generated: s.stats.generated.Load(), Prefilled: s.stats.prefilled.Load(),
+		CacheHits: s.stats.cacheHits.Load(), Completions: s.stats.completions.Load(),
+		Fenced: s.stats.fenced.Load(),
+	}
+}
+
+// Handler serves the engine protocol.
+func (s *StandIn) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/v1/completions", s.complete)
+	r.GET("/v1/load", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(w, http.StatusOK, s.Load(time.Now()))
+	})
+	r.POST("/v1/fault", s.fault)
+	r.GET("/debug/stats", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		writeJSON(w, http.StatusOK, s.Stats())
+	})
+	return r
+}
+
+func (s *StandIn) admit(c Completion) (*sequence, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.Fencing > 0 {
+		if c.Fencing < s.fencing && s.cfg.RefuseFencing {
+			s.stats.fenced.Add(1)
+			return nil, ErrFenced
+		}
+		s.fencing = max(s.fencing, c.Fencing)
+	}
+	s.arrivals++
+	q := &sequence{id: s.arrivals, priority: c.Priority, max: c.MaxTokens, out: make(chan string, 64)}
+	toFill := len(strings.Fields(c.Prompt)) + len(c.Prefix)
+	if s.cache.touch(cacheKey(c.Model, c.Prompt)) {
+		s.stats.cacheHits.Add(1)
+		toFill -= min(cachePrefix, len(strings.Fields(c.Prompt)))
+	}
+	s.stats.prefilled.Add(int64(toFill))
+	q.prefill = (toFill + prefillPerStep - 1) / prefillPerStep
+	if n := len(c.Prefix); n > 0 {
+		q.next = n
+		q.last = c.Prefix[n-1]
+	} else {
+		q.last = ragworthitch.FirstToken(c.Model, c.Prompt, c.Seed)
+	}
+	if q.next >= q.max {
+		q.finished = true
+		close(q.out)
+	}
+	s.seqs = append(s.seqs, q)
+	s.stats.completions.Add(1)
+	return q, nil
+}
+
+func (s *StandIn) cancel(q *sequence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !q.finished {
+		q.finished = true
+		close(q.out)
+	}
+}
+
+func (s *StandIn) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var c Completion
+	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<24)).Decode(&c); err != nil {
+		http.Error(w, "bad completion: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !slices.Contains(s.cfg.Models, c.Model) {
+		http.Error(w, fmt.Sprintf("model %q is not loaded", c.Model), http.StatusNotFound)
+		return
+	}
+	if c.MaxTokens <= 0 {
+		http.Error(w, "max_tokens must be positive", http.StatusBadRequest)
+		return
+	}
+	q, err := s.admit(c)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	defer s.cancel(q)
+	fl, _ := w.(http.Flusher)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	if fl != nil {
+		fl.Flush()
+	}
+	id := fmt.Sprintf("cmpl-%s-%d", s.cfg.Name, q.id)
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case tok, ok := <-q.out:
+			if !ok {
+				fmt.Fprint(w, "data: [DONE]\n\n")
+				if fl != nil {
+					fl.Flush()
+				}
+				return
+			}
+			b, _ := json.Marshal(Chunk{ID: id, Object: "text_completion", Choices: []Choice{{Text: tok}}})
+			fmt.Fprintf(w, "data: %s\n\n", b)
+			if fl != nil && len(q.out) == 0 {
+				fl.Flush()
+			}
+		}
+	}
+}
+
+func (s *StandIn) fault(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f Fault
+	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&f); err != nil {
+		http.Error(w, "bad fault: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	switch f.Kind {
+	case "die":
+		s.log.Warn().Msg("engine: told to die, exiting now")
+		s.exit(3)
+	case "pause":
+		s.mu.Lock()
+		s.pauseTill = time.Now().Add(time.Duration(f.ForMs) * time.Millisecond)
+		s.mu.Unlock()
+		s.log.Warn().Int64("forMs", f.ForMs).Msg("engine: paused")
+	default:
+		http.Error(w, fmt.Sprintf("unknown fault %q (die, pause)", f.Kind), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func cacheKey(model, prompt string) uint64 {
+	words := strings.Fields(prompt)
+	h := fnv.New64a()
+	h.Write([]byte(model))
+	for _, w := range words[:min(cachePrefix, len(words))] {
+		h.Write([]byte(w))
+	}
+	return h.Sum64()
+}
+
+// touch records a use of k and reports whether it was cached.
+func (c *lru) touch(k uint64) bool {
+	if e, ok := c.items[k]; ok {
+		c.order.MoveToFront(e)
+		return true
+	}
+	c.items[k] = c.order.PushFront(k)
+	if c.order.Len() > c.max {
+		old := c.order.Back()
+		c.order.Remove(old)
+		delete(c.items, old.Value.(uint64))
+	}
+	return false
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,382 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/route"
+	"github.com/ragworthitch/ragworthitch/settings"
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+// Sizes of a stream.
+const (
+	eventBuffer  = 1024
+	linger       = time.Minute // a finished stream is kept this long for reconnects
+	requestTable = "req/"
+)
+
+type (
+	// Stream is one generation as the entry drives it: the tokens delivered
+	// so far, in order, each from the attempt current when it arrived.
+	Stream struct {
+		e      *Entry
+		req    ragworthitch.Request
+		prompt string
+		key    uint64
+		events chan wire.Message
+
+		mu       sync.Mutex
+		tokens   []ragworthitch.Token
+		attempt  int
+		target   string
+		err      error
+		done     bool
+		changed  chan struct{}
+		version  int64
+		resumeAt time.Time
+	}
+
+	// requestRow is the value of a request's row in the table.
+	requestRow struct {
+		Entry     string `json:"entry"`
+		Attempt   int    `json:"attempt"`
+		Target    string `json:"target"`
+		Delivered int    `json:"delivered"`
+		State     string `json:"state"`
+	}
+
+	outcome int
+)
+
+const (
+	outcomeDone outcome = iota
+	outcomeFailed
+	outcomeStopped
+)
+
+// Generate starts a streamed generation. The first target is picked before
+// it returns, so a refusal (ErrNoTarget, ErrDuplicate or a validation error)
+// means nothing was started.
+func (e *Entry) Generate(ctx context.Context, req ragworthitch.Request, prompt string) (*Stream, error) {
+	if err := req.Validate(func(o string) bool { return e.cfg.OrgAllows(o, "") }, e.cfg.HasModel); err != nil {
+		return nil, err
+	}
+	if !e.cfg.OrgAllows(req.Org(), req.Model()) {
+		return nil, fmt.Errorf("%w: %q may not use %q", ragworthitch.ErrUnknownModel, req.Org(), req.Model())
+	}
+	words := strings.Fields(prompt)
+	key := route.Key(req.Org(), req.Model(), strings.Join(words[:min(len(words), 64)], " "))
+	name, conn, epoch, err := e.pick(settings.KindEngine, req.Model(), key, nil)
+	if err != nil {
+		return nil, err
+	}
+	s := &Stream{e: e, req: req, prompt: prompt, key: key, events: make(chan wire.Message, eventBuffer), changed: make(chan struct{})}
+	sh := &e.streams[shardOf(req.ID())]
+	sh.mu.Lock()
+	if sh.m == nil {
+		sh.m = map[string]*Stream{}
+	}
+	if _, ok := sh.m[req.ID()]; ok {
+		sh.mu.Unlock()
+		return nil, fmt.Errorf("%w: %s", ErrDuplicate, req.ID())
+	}
+	sh.m[req.ID()] = s
+	sh.mu.Unlock()
+	e.stats.Streams.Add(1)
+	go s.drive(e.base(), name, conn, epoch)
+	return s, nil
+}
+
+// Attach returns a stream this entry is driving or has just finished.
+func (e *Entry) Attach(id string) (*Stream, error) {
+	if s := e.stream(id); s != nil {
+		return s, nil
+	}
+	return nil, fmt.Errorf("%w: %s", ErrUnknownStream, id)
+}
+
+// Request is the stream's request.
+func (s *Stream) Request() ragworthitch.Request { return s.req }
+
+// Next waits until there are tokens from offset on, or the stream ended,
+// and returns them. err is the stream's final error once done.
+func (s *Stream) Next(ctx context.Context, from int) (toks []ragworthitch.Token, done bool, err error) {
+	for {
+		s.mu.Lock()
+		if from < len(s.tokens) {
+			toks = append(toks, s.tokens[from:]...)
+		}
+		done, err, ch := s.done, s.err, s.changed
+		s.mu.Unlock()
+		if len(toks) > 0 || done {
+			return toks, done && from+len(toks) >= s.delivered(), err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false, ctx.Err()
+		case <-ch:
+		}
+	}
+}
+
+func (s *Stream) delivered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)
+}
+
+// Attempts is the number of attempts so far.
+func (s *Stream) Attempts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempt
+}
+
+func (s *Stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Stream) deliver(m wire.Message) {
+	select {
+	case s.events <- m:
+	default:
+		// The driver is far behind; blocking here would hold up every
+		// stream of this agent, so hand it over in the background.
+		go func() { s.events <- m }()
+	}
+}
+
+func (s *Stream) onTarget(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.done && s.target == name
+}
+
+func (s *Stream) targetLost(name string) {
+	s.mu.Lock()
+	a := s.attempt
+	s.mu.Unlock()
+	s.deliver(wire.Message{Type: wire.TypeFail, RequestID: s.req.ID(), Attempt: a, Reason: "connection to agent of " + name + " lost"})
+}
+
+// drive runs attempts until the answer is whole or every attempt failed.
+func (s *Stream) drive(ctx context.Context, name string, conn *wire.Conn, epoch uint64) {
+	e := s.e
+	exclude := map[string]bool{}
+	log := e.log.With().Str("request", s.req.ID()).Logger()
+	for attempt := 1; attempt <= maxAttempts; attempt++ {
+		if attempt > 1 {
+			var err error
+			name, conn, epoch, err = s.pickAgain(ctx, exclude)
+			if err != nil {
+				break
+			}
+		}
+		prefix := s.begin(attempt, name)
+		if err := s.record(ctx, "running"); errors.Is(err, platform.ErrConflict) {
+			log.Warn().Int("attempt", attempt).Msg("resume: request row taken by another entry, stopping")
+			s.finish(ErrGaveUp)
+			return
+		}
+		if attempt > 1 {
+			e.stats.Resumes.Add(1)
+			e.stats.Recomputed.Add(int64(len(prefix)))
+			e.scope.Counter("resumes").Inc(1)
+			log.Info().Int("attempt", attempt).Str("target", name).Int("offset", len(prefix)).Msgf("resume: attempt %d on %s from offset %d", attempt, name, len(prefix))
+		}
+		start := wire.Message{Type: wire.TypeStart, RequestID: s.req.ID(), Attempt: attempt, Fencing: epoch,
+			Model: s.req.Model(), Prompt: s.prompt, MaxTokens: s.req.MaxTokens(), Priority: s.req.Priority(),
+			Seed: s.req.Seed(), Prefix: prefix}
+		var out outcome
+		var reason string
+		if err := conn.Send(ctx, start); err != nil {
+			out, reason = outcomeFailed, err.Error()
+		} else {
+			out, reason = s.follow(ctx, attempt)
+		}
+		switch out {
+		case outcomeDone:
+			s.finish(nil)
+			s.record(ctx, "done")
+			return
+		case outcomeStopped:
+			s.finish(ctx.Err())
+			return
+		}
+		log.Warn().Int("attempt", attempt).Str("target", name).Str("reason", reason).Msgf("resume: attempt %d on %s given up: %s", attempt, name, reason)
+		conn.Send(ctx, wire.Message{Type: wire.TypeCancel, RequestID: s.req.ID(), Attempt: attempt})
+		exclude[name] = true
+		s.mu.Lock()
+		if s.resumeAt.IsZero() {
+			s.resumeAt = time.Now()
+		}
+		s.mu.Unlock()
+	}
+	e.stats.GaveUp.Add(1)
+	log.Error().Msg("resume: gave up, every attempt failed")
+	s.finish(ErrGaveUp)
+	s.record(ctx, "failed")
+}
+
+// pickAgain finds a target for the next attempt, waiting up to one stall
+// timeout for one to appear; targets that failed this request go last.
+func (s *Stream) pickAgain(ctx context.Context, exclude map[string]bool) (string, *wire.Conn, uint64, error) {
+	deadline := time.Now().Add(settings.Ms(s.e.cfg.Timeouts.StallMs))
+	for {
+		name, conn, epoch, err := s.e.pick(settings.KindEngine, s.req.Model(), s.key, exclude)
+		if err == nil {
+			return name, conn, epoch, nil
+		}
+		if name, conn, epoch, err = s.e.pick(settings.KindEngine, s.req.Model(), s.key, nil); err == nil {
+			return name, conn, epoch, nil
+		}
+		if time.Now().After(deadline) {
+			return "", nil, 0, err
+		}
+		select {
+		case <-ctx.Done():
+			return "", nil, 0, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// begin makes attempt current and returns the delivered prefix.
+func (s *Stream) begin(attempt int, name string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempt, s.target = attempt, name
+	prefix := make([]string, len(s.tokens))
+	for i, t := range s.tokens {
+		prefix[i] = t.Text()
+	}
+	return prefix
+}
+
+// follow takes the tokens of one attempt until it ends.
+func (s *Stream) follow(ctx context.Context, attempt int) (outcome, string) {
+	stall := settings.Ms(s.e.cfg.Timeouts.StallMs)
+	t := time.NewTimer(stall)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return outcomeStopped, "stopped"
+		case <-t.C:
+			return outcomeFailed, fmt.Sprintf("no token for %v", stall)
+		case m := <-s.events:
+			if m.Attempt != attempt {
+				if m.Type == wire.TypeToken {
+					s.e.stats.Discarded.Add(1)
+				}
+				continue
+			}
+			switch m.Type {
+			case wire.TypeToken:
+				if ok, reason := s.take(m); !ok {
+					return outcomeFailed, reason
+				}
+				t.Reset(stall)
+			case wire.TypeDone:
+				if n := s.delivered(); n < s.req.MaxTokens() {
+					return outcomeFailed, fmt.Sprintf("stream ended at %d of %d tokens", n, s.req.MaxTokens())
+				}
+				return outcomeDone, ""
+			case wire.TypeFail:
+				return outcomeFailed, m.Reason
+			}
+		}
+	}
+}
+
+// take appends a token if it is the next one.
+func (s *Stream) take(m wire.Message) (bool, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch n := len(s.tokens); {
+	case m.Offset < n:
+		s.e.stats.Discarded.Add(1)
+		return true, ""
+	case m.Offset > n:
+		return false, fmt.Sprintf("gap: offset %d after %d", m.Offset, n)
+	}
+	s.tokens = append(s.tokens, ragworthitch.NewToken(m.Offset, m.Attempt, m.Text))
+	s.e.stats.Delivered.Add(1)
+	if !s.resumeAt.IsZero() {
+		d := time.Since(s.resumeAt)
+		s.e.stats.ResumeNanos.Add(int64(d))
+		s.e.stats.ResumeCount.Add(1)
+		s.e.scope.Timer("resumeLatency").Record(d)
+		s.resumeAt = time.Time{}
+	}
+	s.notify()
+	return true, ""
+}
+
+func (s *Stream) finish(err error) {
+	s.mu.Lock()
+	s.done, s.err = true, err
+	s.notify()
+	s.mu.Unlock()
+	s.e.scope.Counter("tokensDelivered").Inc(int64(s.delivered()))
+	time.AfterFunc(linger, func() {
+		sh := &s.e.streams[shardOf(s.req.ID())]
+		sh.mu.Lock()
+		if sh.m[s.req.ID()] == s {
+			delete(sh.m, s.req.ID())
+		}
+		sh.mu.Unlock()
+	})
+}
+
+// record writes the request's row with a conditional write on the version
+// this stream last wrote. A conflict means another entry holds the request.
+// When the table is down the stream goes on and the row is written later.
+func (s *Stream) record(ctx context.Context, state string) error {
+	s.mu.Lock()
+	row := requestRow{Entry: s.e.self.Name, Attempt: s.attempt, Target: s.target, Delivered: len(s.tokens), State: state}
+	version := s.version
+	s.mu.Unlock()
+	s.e.stats.TableWrites.Add(1)
+	wctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	r, err := s.e.pf.Put(wctx, requestTable+s.req.ID(), version, row, 0)
+	if errors.Is(err, platform.ErrConflict) && ownRow(r.Value, s.e.self.Name) {
+		// An earlier write of ours landed though its answer was lost.
+		r, err = s.e.pf.Put(wctx, requestTable+s.req.ID(), r.Version, row, 0)
+	}
+	if errors.Is(err, platform.ErrUnavailable) {
+		// The write may have landed: read it back before going on.
+		got, gerr := s.e.pf.Get(wctx, requestTable+s.req.ID())
+		if gerr == nil && got.Version == version+1 && sameRow(got.Value, row) {
+			r, err = got, nil
+		}
+	}
+	if err != nil {
+		s.e.stats.TableErrors.Add(1)
+		return err
+	}
+	s.mu.Lock()
+	s.version = r.Version
+	s.mu.Unlock()
+	return nil
+}
+
+func sameRow(raw []byte, want requestRow) bool {
+	var got requestRow
+	return json.Unmarshal(raw, &got) == nil && got == want
+}
+
+func ownRow(raw []byte, entry string) bool {
+	var got requestRow
+	return json.Unmarshal(raw, &got) == nil && got.Entry == entry
+}
--- /dev/null
+++ b/handlers/caller.go
@@ -0,0 +1,194 @@
+package handlers
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/entry"
+)
+
+type (
+	caller struct{ e *entry.Entry }
+
+	// generateBody is the JSON body of POST /v1/generate.
+	generateBody struct {
+		Org       string `json:"org"`
+		Model     string `json:"model"`
+		Prompt    string `json:"prompt"`
+		MaxTokens int    `json:"maxTokens"`
+		Priority  int    `json:"priority"`
+		Seed      uint64 `json:"seed"`
+	}
+
+	// callBody is the JSON body of POST /v1/call/:op.
+	callBody struct {
+		Org string `json:"org"`
+	}
+
+	tokenEvent struct {
+		Text    string `json:"text"`
+		Attempt int    `json:"attempt"`
+	}
+
+	doneEvent struct {
+		Tokens   int `json:"tokens"`
+		Attempts int `json:"attempts"`
+	}
+)
+
+// ops maps the path of a call to its kind.
+var ops = map[string]ragworthitch.Kind{
+	"status": ragworthitch.KindShort, "balance": ragworthitch.KindShort,
+	"quote": ragworthitch.KindQuote, "charge": ragworthitch.KindCharge,
+}
+
+func (c caller) retryAfter() int { return c.e.Settings().Timeouts.RetryAfterS }
+
+// generate starts a streamed generation and streams it as server-sent
+// events; each event's id is the token's offset.
+func (c caller) generate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var b generateBody
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&b); err != nil {
+		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
+		return
+	}
+	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
+		ID: r.Header.Get(HeaderRequestID), IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Org: b.Org, Model: b.Model, Kind: ragworthitch.KindLong, PromptTokens: countWords(b.Prompt),
+		MaxTokens: b.MaxTokens, Priority: b.Priority, Seed: b.Seed,
+	})
+	s, err := c.e.Generate(r.Context(), req, b.Prompt)
+	if err != nil {
+		c.refuse(w, err)
+		return
+	}
+	c.stream(w, r, s, 0)
+}
+
+// reconnect continues a stream after the offset in Last-Event-ID.
+func (c caller) reconnect(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	s, err := c.e.Attach(p.ByName("id"))
+	if err != nil {
+		writeError(w, http.StatusNotFound, err.Error(), false, c.retryAfter())
+		return
+	}
+	from := 0
+	if v := r.Header.Get(HeaderLastEventID); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < -1 {
+			writeError(w, http.StatusBadRequest, "Last-Event-ID must be a token offset", false, 0)
+			return
+		}
+		from = n + 1
+	}
+	c.stream(w, r, s, from)
+}
+
+func (c caller) stream(w http.ResponseWriter, r *http.Request, s *entry.Stream, from int) {
+	fl, _ := w.(http.Flusher)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.Header().Set(HeaderRequestID, s.Request().ID())
+	w.WriteHeader(http.StatusOK)
+	if fl != nil {
+		fl.Flush()
+	}
+	for {
+		toks, done, err := s.Next(r.Context(), from)
+		if r.Context().Err() != nil {
+			return
+		}
+		for _, t := range toks {
+			d, _ := json.Marshal(tokenEvent{Text: t.Text(), Attempt: t.Attempt()})
+			fmt.Fprintf(w, "id: %d\nevent: token\ndata: %s\n\n", t.Offset(), d)
+		}
+		from += len(toks)
+		if done {
+			if err != nil {
+				// Given up: the final answer goes out at once, with when
+				// to come back.
+				d, _ := json.Marshal(errorBody{Error: err.Error(), RetryAfterS: c.retryAfter()})
+				fmt.Fprintf(w, "event: error\ndata: %s\n\n", d)
+			} else {
+				d, _ := json.Marshal(doneEvent{Tokens: from, Attempts: s.Attempts()})
+				fmt.Fprintf(w, "event: done\ndata: %s\n\n", d)
+			}
+			if fl != nil {
+				fl.Flush()
+			}
+			return
+		}
+		if fl != nil {
+			fl.Flush()
+		}
+	}
+}
+
+// call runs a short plain service call.
+func (c caller) call(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	kind, ok := ops[p.ByName("op")]
+	if !ok {
+		writeError(w, http.StatusNotFound, fmt.Sprintf("unknown operation %q", p.ByName("op")), true, 0)
+		return
+	}
+	var b callBody
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&b); err != nil {
+		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
+		return
+	}
+	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
+		ID: r.Header.Get(HeaderRequestID), IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Org: b.Org, Kind: kind, Op: p.ByName("op"),
+	})
+	a, err := c.e.Call(r.Context(), req)
+	if err != nil {
+		c.refuse(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(map[string]any{"answer": a.Text, "replayed": a.Replayed})
+}
+
+// refuse answers an error at once, saying whether the request ran.
+func (c caller) refuse(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ragworthitch.ErrBadRequest), errors.Is(err, ragworthitch.ErrUnknownModel),
+		errors.Is(err, ragworthitch.ErrUnknownOrg):
+		writeError(w, http.StatusBadRequest, err.Error(), true, 0)
+	case errors.Is(err, ragworthitch.ErrPromptTooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, err.Error(), true, 0)
+	case errors.Is(err, entry.ErrDuplicate):
+		writeError(w, http.StatusConflict, err.Error(), true, 0)
+	case errors.Is(err, entry.ErrUnknownOutcome):
+		writeError(w, http.StatusConflict, err.Error(), false, c.retryAfter())
+	case errors.Is(err, entry.ErrNoTarget), errors.Is(err, entry.ErrNotRun):
+		writeError(w, http.StatusServiceUnavailable, err.Error(), true, c.retryAfter())
+	default:
+		// A repeatable call that failed: it may have run, and may be asked
+		// again.
+		writeError(w, http.StatusBadGateway, err.Error(), false, c.retryAfter())
+	}
+}
+
+func countWords(s string) int {
+	n, in := 0, false
+	for i := 0; i < len(s); i++ {
+		sp := s[i] == ' ' || s[i] == '\n' || s[i] == '\t' || s[i] == '\r'
+		if !sp && !in {
+			n++
+		}
+		in = !sp
+	}
+	return n
+}
--- /dev/null
+++ b/handlers/debug.go
@@ -0,0 +1,54 @@
+package handlers
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/ragworthitch/ragworthitch/entry"
+	"github.com/ragworthitch/ragworthitch/metrics"
+)
+
+type (
+	debug struct {
+		e *entry.Entry
+		m *metrics.Reporter
+	}
+
+	// StatsBody is the JSON of GET /debug/stats.
+	StatsBody struct {
+		Entry          string `json:"entry"`
+		Streams        int64  `json:"streams"`
+		Resumes        int64  `json:"resumes"`
+		Delivered      int64  `json:"delivered"`
+		Discarded      int64  `json:"discarded"`
+		Recomputed     int64  `json:"recomputed"`
+		GaveUp         int64  `json:"gaveUp"`
+		TableWrites    int64  `json:"tableWrites"`
+		TableErrors    int64  `json:"tableErrors"`
+		ResumeCount    int64  `json:"resumeCount"`
+		ResumeNanos    int64  `json:"resumeNanos"`
+		CallsNotRun    int64  `json:"callsNotRun"`
+		CallsRecovered int64  `json:"callsRecovered"`
+	}
+)
+
+func (d debug) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if !d.e.Ready() {
+		writeError(w, http.StatusServiceUnavailable, "no live target yet", true, 1)
+		return
+	}
+	w.Write([]byte("ok\n"))
+}
+
+func (d debug) stats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	s := d.e.Stats()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(StatsBody{
+		Entry: d.e.Name(), Streams: s.Streams.Load(), Resumes: s.Resumes.Load(), Delivered: s.Delivered.Load(),
+		Discarded: s.Discarded.Load(), Recomputed: s.Recomputed.Load(), GaveUp: s.GaveUp.Load(),
+		TableWrites: s.TableWrites.Load(), TableErrors: s.TableErrors.Load(), ResumeCount: s.ResumeCount.Load(),
+		ResumeNanos: s.ResumeNanos.Load(), CallsNotRun: s.CallsNotRun.Load(), CallsRecovered: s.CallsRecovered.Load(),
+	})
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,107 @@
+// Package metrics gives each process a tally scope whose values are kept in
+// memory and served as JSON at /debug/metrics.
+package metrics
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Interval is how often the scope hands its values to the reporter.
+const Interval = 500 * time.Millisecond
+
+type (
+	// Reporter keeps the latest values of a tally scope: counters summed,
+	// gauges as last set, timers as count and sum.
+	Reporter struct {
+		mu       sync.Mutex
+		counters map[string]int64
+		gauges   map[string]float64
+		timers   map[string]*timer
+	}
+
+	timer struct {
+		Count int64   `json:"count"`
+		SumMs float64 `json:"sumMs"`
+		MaxMs float64 `json:"maxMs"`
+	}
+)
+
+// New returns a root scope reporting to a new Reporter, and a func that
+// stops it.
+func New(process string) (tally.Scope, *Reporter, func()) {
+	r := &Reporter{counters: map[string]int64{}, gauges: map[string]float64{}, timers: map[string]*timer{}}
+	s, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:   "ragworthitch",
+		Tags:     map[string]string{"process": process},
+		Reporter: r,
+	}, Interval)
+	return s, r, func() { closer.Close() }
+}
+
+// ReportCounter adds a counter's change.
+func (r *Reporter) ReportCounter(name string, _ map[string]string, v int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters[name] += v
+}
+
+// ReportGauge sets a gauge.
+func (r *Reporter) ReportGauge(name string, _ map[string]string, v float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges[name] = v
+}
+
+// ReportTimer adds one timing.
+func (r *Reporter) ReportTimer(name string, _ map[string]string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.timers[name]
+	if t == nil {
+		t = &timer{}
+		r.timers[name] = t
+	}
+	ms := float64(d) / float64(time.Millisecond)
+	t.Count++
+	t.SumMs += ms
+	t.MaxMs = max(t.MaxMs, ms)
+}
+
+// ReportHistogramValueSamples is not kept.
+func (r *Reporter) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
+}
+
+// ReportHistogramDurationSamples is not kept.
+func (r *Reporter) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+}
+
+// Capabilities says the reporter reports, without tags.
+func (r *Reporter) Capabilities() tally.Capabilities { return r }
+
+// Reporting is true.
+func (r *Reporter) Reporting() bool { return true }
+
+// Tagging is false: tags are fixed per process.
+func (r *Reporter) Tagging() bool { return false }
+
+// Flush does nothing; values are kept in memory.
+func (r *Reporter) Flush() {}
+
+// ServeHTTP writes the values as JSON.
+func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := make([]string, 0, len(r.counters))
+	for n := range r.counters {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(map[string]any{"counters": r.counters, "gauges": r.gauges, "timers": r.timers})
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,150 @@
+package ragworthitch
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kinds of request.
+const (
+	// KindLong is a streamed generation on a model engine.
+	KindLong Kind = "long"
+	// KindShort is a repeatable call to a plain service (job status, card
+	// balance).
+	KindShort Kind = "short"
+	// KindQuote is a call to a plain service that may not be repeated.
+	KindQuote Kind = "quote"
+	// KindCharge is a call to a plain service that may not be repeated.
+	KindCharge Kind = "charge"
+)
+
+// Limits on what a caller may ask for.
+const (
+	MaxPromptTokens = 32_768
+	MaxTokens       = 16_384
+	MaxIDLength     = 128
+)
+
+// Errors returned by Request.Validate.
+var (
+	ErrBadRequest     = errors.New("bad request")
+	ErrUnknownModel   = errors.New("unknown model")
+	ErrUnknownOrg     = errors.New("unknown organisation")
+	ErrPromptTooLarge = errors.New("prompt too large")
+)
+
+type (
+	// Kind says what sort of work a request is.
+	Kind string
+
+	// Request is one caller's ask, as the entry sees it.
+	//
+	// The zero value is not a valid request; build one with NewRequest or
+	// fill it through the setters and call Validate.
+	Request struct {
+		id             string
+		idempotencyKey string
+		org            string
+		model          string
+		kind           Kind
+		op             string
+		promptTokens   int
+		maxTokens      int
+		priority       int
+		seed           uint64
+	}
+)
+
+// Repeatable reports whether a call of this kind may run more than once.
+func (k Kind) Repeatable() bool { return k != KindQuote && k != KindCharge }
+
+// Valid reports whether k is one of the known kinds.
+func (k Kind) Valid() bool {
+	switch k {
+	case KindLong, KindShort, KindQuote, KindCharge:
+		return true
+	}
+	return false
+}
+
+// RequestParams are the fields of a new Request.
+type RequestParams struct {
+	ID             string
+	IdempotencyKey string
+	Org            string
+	Model          string
+	Kind           Kind
+	Op             string
+	PromptTokens   int
+	MaxTokens      int
+	Priority       int
+	Seed           uint64
+}
+
+// NewRequest builds a Request from p; call Validate before use.
+func NewRequest(p RequestParams) Request {
+	return Request{
+		id: p.ID, idempotencyKey: p.IdempotencyKey, org: p.Org, model: p.Model,
+		kind: p.Kind, op: p.Op, promptTokens: p.PromptTokens, maxTokens: p.MaxTokens,
+		priority: p.Priority, seed: p.Seed,
+	}
+}
+
+// ID is the caller's request id.
+func (r Request) ID() string { return r.id }
+
+// IdempotencyKey is the caller's key for calls that may not repeat.
+func (r Request) IdempotencyKey() string { return r.idempotencyKey }
+
+// Org is the organisation the caller belongs to.
+func (r Request) Org() string { return r.org }
+
+// Model is the model name, for long requests.
+func (r Request) Model() string { return r.model }
+
+// Kind is the kind of work.
+func (r Request) Kind() Kind { return r.kind }
+
+// Op is the plain service operation (status, balance, quote, charge).
+func (r Request) Op() string { return r.op }
+
+// PromptTokens is the prompt length in tokens.
+func (r Request) PromptTokens() int { return r.promptTokens }
+
+// MaxTokens is the number of tokens to generate.
+func (r Request) MaxTokens() int { return r.maxTokens }
+
+// Priority is higher for more urgent work; 0 is the default.
+func (r Request) Priority() int { return r.priority }
+
+// Seed picks the first token of the generation; the stand-in engine uses it
+// the way a real engine uses a sampling seed.
+func (r Request) Seed() uint64 { return r.seed }
+
+// Validate checks r against the limits and against the known models and
+// organisations. The error wraps ErrBadRequest, ErrUnknownModel,
+// ErrUnknownOrg or ErrPromptTooLarge.
+func (r Request) Validate(knownOrg func(string) bool, knownModel func(string) bool) error {
+	switch {
+	case r.id == "" || len(r.id) > MaxIDLength:
+		return fmt.Errorf("%w: request id must be 1 to %d characters", ErrBadRequest, MaxIDLength)
+	case !r.kind.Valid():
+		return fmt.Errorf("%w: unknown kind %q", ErrBadRequest, r.kind)
+	case !r.kind.Repeatable() && r.idempotencyKey == "":
+		return fmt.Errorf("%w: a %s needs an idempotency key", ErrBadRequest, r.kind)
+	case !knownOrg(r.org):
+		return fmt.Errorf("%w: %q", ErrUnknownOrg, r.org)
+	}
+	if r.kind != KindLong {
+		return nil
+	}
+	switch {
+	case !knownModel(r.model):
+		return fmt.Errorf("%w: %q", ErrUnknownModel, r.model)
+	case r.promptTokens < 0 || r.promptTokens > MaxPromptTokens:
+		return fmt.Errorf("%w: %d tokens, at most %d", ErrPromptTooLarge, r.promptTokens, MaxPromptTokens)
+	case r.maxTokens < 1 || r.maxTokens > MaxTokens:
+		return fmt.Errorf("%w: maxTokens must be 1 to %d", ErrBadRequest, MaxTokens)
+	}
+	return nil
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,165 @@
+// Package service speaks to plain back-end services (job status, card
+// balance, quote, charge) over HTTP with JSON, and holds the stand-in that
+// takes their place on one machine.
+//
+// Protocol:
+//
+//	POST /v1/{op}        body Call; 200 Result
+//	GET  /debug/counts   200 map of idempotency key to times run (quote, charge)
+//
+// Quote and charge may not be repeated; the stand-in counts how often each
+// key ran, so a test can prove a call ran at most once.
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Operations of the plain services.
+const (
+	OpStatus  = "status"
+	OpBalance = "balance"
+	OpQuote   = "quote"
+	OpCharge  = "charge"
+)
+
+// ErrService is returned when the service could not be reached or failed.
+var ErrService = errors.New("service: call failed")
+
+type (
+	// Call is one call of an operation.
+	Call struct {
+		RequestID      string `json:"requestId"`
+		IdempotencyKey string `json:"idempotencyKey,omitempty"`
+		Org            string `json:"org"`
+	}
+
+	// Result is a call's answer.
+	Result struct {
+		Op     string `json:"op"`
+		Answer string `json:"answer"`
+		Ran    int    `json:"ran"`
+	}
+
+	// StandIn is a plain service stand-in; the zero value is ready.
+	StandIn struct {
+		Name    string
+		Latency time.Duration
+
+		mu     sync.Mutex
+		counts map[string]int
+	}
+
+	// Client speaks to one plain service.
+	Client struct {
+		base string
+		http *http.Client
+	}
+)
+
+// Handler serves the service protocol.
+func (s *StandIn) Handler() http.Handler {
+	r := httprouter.New()
+	r.POST("/v1/:op", s.call)
+	r.GET("/debug/counts", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		s.mu.Lock()
+		b, _ := json.Marshal(s.counts)
+		s.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(b)
+	})
+	return r
+}
+
+func (s *StandIn) call(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	op := p.ByName("op")
+	var c Call
+	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&c); err != nil {
+		http.Error(w, "bad call: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	res := Result{Op: op}
+	switch op {
+	case OpStatus, OpBalance:
+	case OpQuote, OpCharge:
+		if c.IdempotencyKey == "" {
+			http.Error(w, op+" needs an idempotency key", http.StatusBadRequest)
+			return
+		}
+		s.mu.Lock()
+		if s.counts == nil {
+			s.counts = map[string]int{}
+		}
+		s.counts[c.IdempotencyKey]++
+		res.Ran = s.counts[c.IdempotencyKey]
+		s.mu.Unlock()
+	default:
+		http.Error(w, fmt.Sprintf("unknown operation %q", op), http.StatusNotFound)
+		return
+	}
+	if s.Latency > 0 {
+		time.Sleep(s.Latency)
+	}
+	h := fnv.New32a()
+	h.Write([]byte(c.Org + c.RequestID + c.IdempotencyKey))
+	res.Answer = fmt.Sprintf("%s %s for %s: %d", s.Name, op, c.Org, h.Sum32()%10000)
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(res)
+}
+
+// NewClient returns a client of the service at addr (host:port).
+func NewClient(addr string, timeout time.Duration) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Timeout: timeout}}
+}
+
+// Do calls op; errors wrap ErrService.
+func (c *Client) Do(ctx context.Context, op string, call Call) (Result, error) {
+	b, _ := json.Marshal(call)
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/"+op, bytes.NewReader(b))
+	if err != nil {
+		return Result{}, err
+	}
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: %v", ErrService, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		msg, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		return Result{}, fmt.Errorf("%w: %s: %s", ErrService, resp.Status, bytes.TrimSpace(msg))
+	}
+	var res Result
+	if err := json.NewDecoder(resp.Body).Decode(&res); err != nil {
+		return Result{}, fmt.Errorf("%w: %v", ErrService, err)
+	}
+	return res, nil
+}
+
+// Counts reads how often each idempotency key ran.
+func (c *Client) Counts(ctx context.Context) (map[string]int, error) {
+	hr, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/debug/counts", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrService, err)
+	}
+	defer resp.Body.Close()
+	m := map[string]int{}
+	if err := json.NewDecoder(resp.Body).Decode(&m); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrService, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,227 @@
+// Package wire is the protocol between entry instances and agents:
+// WebSocket carrying one CBOR message a frame.
+//
+// An entry dials an agent at ws://AGENT/v1/wire and keeps the connection.
+// The entry sends Start (a generation or its resume from a prefix), Call (a
+// plain service call) and Cancel; the agent answers with Token, Done, Fail
+// and Result, and sends Load reports on its own. Every message about a
+// request carries its request id and attempt number; Start and Call carry
+// the fencing number (the agent's lease epoch) the entry saw.
+//
+// Messages are plain Go structs; the CBOR frame is mapped by hand so the
+// wire format does not follow the Go names.
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Message types.
+const (
+	TypeStart Type = iota + 1
+	TypeToken
+	TypeDone
+	TypeFail
+	TypeCancel
+	TypeCall
+	TypeResult
+	TypeLoad
+)
+
+// Path is where an agent serves the protocol.
+const Path = "/v1/wire"
+
+// maxFrame bounds one message; a resume prefix of MaxTokens fits.
+const maxFrame = 4 << 20
+
+var (
+	// ErrClosed is returned once the connection is gone.
+	ErrClosed = errors.New("wire: connection closed")
+	// ErrBadFrame is returned for a frame that does not decode.
+	ErrBadFrame = errors.New("wire: bad frame")
+)
+
+type (
+	// Type says what a message is.
+	Type uint8
+
+	// Message is one protocol message; which fields count depends on Type.
+	Message struct {
+		Type      Type
+		RequestID string
+		Attempt   int
+		Fencing   uint64
+
+		// Start
+		Model     string
+		Prompt    string
+		MaxTokens int
+		Priority  int
+		Seed      uint64
+		Prefix    []string
+
+		// Token
+		Offset int
+		Text   string
+
+		// Call and Result
+		Op             string
+		Org            string
+		IdempotencyKey string
+		Answer         string
+
+		// Fail
+		Reason string
+		Fenced bool
+
+		// Load
+		Running int
+		Waiting int
+		AtMs    int64
+		Healthy bool
+	}
+
+	// frame is the CBOR shape of a Message, with small integer keys.
+	frame struct {
+		T   uint8    `cbor:"1,keyasint"`
+		ID  string   `cbor:"2,keyasint,omitempty"`
+		A   int      `cbor:"3,keyasint,omitempty"`
+		F   uint64   `cbor:"4,keyasint,omitempty"`
+		M   string   `cbor:"5,keyasint,omitempty"`
+		P   string   `cbor:"6,keyasint,omitempty"`
+		Max int      `cbor:"7,keyasint,omitempty"`
+		Pri int      `cbor:"8,keyasint,omitempty"`
+		S   uint64   `cbor:"9,keyasint,omitempty"`
+		Pre []string `cbor:"10,keyasint,omitempty"`
+		O   int      `cbor:"11,keyasint,omitempty"`
+		X   string   `cbor:"12,keyasint,omitempty"`
+		Op  string   `cbor:"13,keyasint,omitempty"`
+		Org string   `cbor:"14,keyasint,omitempty"`
+		K   string   `cbor:"15,keyasint,omitempty"`
+		Ans string   `cbor:"16,keyasint,omitempty"`
+		R   string   `cbor:"17,keyasint,omitempty"`
+		Fd  bool     `cbor:"18,keyasint,omitempty"`
+		Run int      `cbor:"19,keyasint,omitempty"`
+		W   int      `cbor:"20,keyasint,omitempty"`
+		At  int64    `cbor:"21,keyasint,omitempty"`
+		H   bool     `cbor:"22,keyasint,omitempty"`
+	}
+
+	// Conn is one protocol connection; Send is safe for concurrent use,
+	// Recv is for one reader.
+	Conn struct {
+		ws *websocket.Conn
+		mu sync.Mutex
+	}
+)
+
+func (t Type) String() string {
+	switch t {
+	case TypeStart:
+		return "start"
+	case TypeToken:
+		return "token"
+	case TypeDone:
+		return "done"
+	case TypeFail:
+		return "fail"
+	case TypeCancel:
+		return "cancel"
+	case TypeCall:
+		return "call"
+	case TypeResult:
+		return "result"
+	case TypeLoad:
+		return "load"
+	}
+	return fmt.Sprintf("type(%d)", uint8(t))
+}
+
+// Encode maps m to its CBOR frame.
+func Encode(m Message) ([]byte, error) {
+	return cbor.Marshal(frame{
+		T: uint8(m.Type), ID: m.RequestID, A: m.Attempt, F: m.Fencing,
+		M: m.Model, P: m.Prompt, Max: m.MaxTokens, Pri: m.Priority, S: m.Seed, Pre: m.Prefix,
+		O: m.Offset, X: m.Text,
+		Op: m.Op, Org: m.Org, K: m.IdempotencyKey, Ans: m.Answer,
+		R: m.Reason, Fd: m.Fenced,
+		Run: m.Running, W: m.Waiting, At: m.AtMs, H: m.Healthy,
+	})
+}
+
+// Decode maps a CBOR frame to a Message; errors wrap ErrBadFrame.
+func Decode(b []byte) (Message, error) {
+	var f frame
+	if err := cbor.Unmarshal(b, &f); err != nil {
+		return Message{}, fmt.Errorf("%w: %v", ErrBadFrame, err)
+	}
+	if f.T < uint8(TypeStart) || f.T > uint8(TypeLoad) {
+		return Message{}, fmt.Errorf("%w: unknown type %d", ErrBadFrame, f.T)
+	}
+	return Message{
+		Type: Type(f.T), RequestID: f.ID, Attempt: f.A, Fencing: f.F,
+		Model: f.M, Prompt: f.P, MaxTokens: f.Max, Priority: f.Pri, Seed: f.S, Prefix: f.Pre,
+		Offset: f.O, Text: f.X,
+		Op: f.Op, Org: f.Org, IdempotencyKey: f.K, Answer: f.Ans,
+		Reason: f.R, Fenced: f.Fd,
+		Running: f.Run, Waiting: f.W, AtMs: f.At, Healthy: f.H,
+	}, nil
+}
+
+// Dial connects to the agent at addr (host:port).
+func Dial(ctx context.Context, addr string) (*Conn, error) {
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: dial %s: %v", ErrClosed, addr, err)
+	}
+	ws.SetReadLimit(maxFrame)
+	return &Conn{ws: ws}, nil
+}
+
+// Accept upgrades an HTTP request to a protocol connection.
+func Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: accept: %v", ErrClosed, err)
+	}
+	ws.SetReadLimit(maxFrame)
+	return &Conn{ws: ws}, nil
+}
+
+// Send writes one message.
+func (c *Conn) Send(ctx context.Context, m Message) error {
+	b, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return nil
+}
+
+// Recv reads one message.
+func (c *Conn) Recv(ctx context.Context) (Message, error) {
+	_, b, err := c.ws.Read(ctx)
+	if err != nil {
+		return Message{}, fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return Decode(b)
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error {
+	return c.ws.Close(websocket.StatusNormalClosure, "")
+}
+
+// CloseNow drops the connection without a closing handshake.
+func (c *Conn) CloseNow() error { return c.ws.CloseNow() }
