--- a/cmd/ragworthitch/main.go
+++ b/cmd/ragworthitch/main.go
@@ -25,6 +25,7 @@
 	subcommands.Register(&entryCmd{}, "parts")
 	subcommands.Register(&loadCmd{}, "tools")
 	subcommands.Register(&settingsCmd{}, "tools")
+	subcommands.Register(&timelineCmd{}, "tools")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
