--- a/cmd/ragworthitch/timeline.go
+++ b/cmd/ragworthitch/timeline.go
@@ -13,8 +13,10 @@
 
 type timelineCmd struct{}
 
-func (*timelineCmd) Name() string     { return "timeline" }
-func (*timelineCmd) Synopsis() string { return "merge the JSON logs of all processes into one time line" }
+func (*timelineCmd) Name() string { return "timeline" }
+func (*timelineCmd) Synopsis() string {
+	return "merge the JSON logs of all processes into one time line"
+}
 func (*timelineCmd) Usage() string {
 	return "timeline FILE...\n\tPrint every log line of the files, ordered by time, as TIME PROCESS ZONE MESSAGE.\n"
 }
