Entry tests with fake agents: stale attempts are dropped, resume sends the prefix

Change: rwtest holds a platform stand-in on loopback and a scripted fake agent. TestStaleAttemptIsNotMixed makes attempt 1 fall silent, then send another generation's tokens under attempt 1 that reach the entry before attempt 2's own; TestResumeFromPrefix checks the new attempt gets the delivered prefix and number 2.

Conclusion: attempt fencing in the entry is now what the test rests on.

--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,116 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/entry"
+	"github.com/ragworthitch/ragworthitch/rwtest"
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+// startEntry runs an entry against fake agents until the test ends.
+func startEntry(t *testing.T, p *rwtest.Platform) *entry.Entry {
+	t.Helper()
+	e, err := entry.New(rwtest.Settings(t, p.Addr), "en1", zerolog.Nop(), nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.Run(ctx)
+	require.Eventually(t, e.Ready, 2*time.Second, 10*time.Millisecond)
+	return e
+}
+
+// collect reads a stream to its end.
+func collect(t *testing.T, s *entry.Stream) ([]ragworthitch.Token, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var all []ragworthitch.Token
+	for {
+		toks, done, err := s.Next(ctx, len(all))
+		all = append(all, toks...)
+		if done || ctx.Err() != nil {
+			return all, err
+		}
+	}
+}
+
+func longRequest(id string, n int) ragworthitch.Request {
+	return ragworthitch.NewRequest(ragworthitch.RequestParams{ID: id, Org: "o", Model: "m",
+		Kind: ragworthitch.KindLong, MaxTokens: n, Seed: 9})
+}
+
+// assertChain checks that the answer is whole and from one token chain.
+func assertChain(t *testing.T, toks []ragworthitch.Token, n int) {
+	t.Helper()
+	require.Len(t, toks, n)
+	for i := 1; i < n; i++ {
+		require.Equal(t, i, toks[i].Offset())
+		require.Equal(t, ragworthitch.NextToken(toks[i-1].Text(), i), toks[i].Text(), "token %d is not the successor of %d", i, i-1)
+	}
+}
+
+// A target that stalls is given up after the stall timeout; the tokens it
+// sends later under the old attempt number are dropped, even where they
+// reach the entry before the new attempt's own tokens.
+func TestStaleAttemptIsNotMixed(t *testing.T) {
+	p := rwtest.StartPlatform(t)
+	stall := make(chan struct{})
+	slow := &rwtest.FakeAgent{Name: "a", Step: time.Millisecond, Hook: func(m wire.Message, off int) rwtest.Action {
+		if m.Attempt == 1 && off == 20 {
+			<-stall // silent until the entry has moved on, then late
+		}
+		if m.Attempt == 1 && off >= 20 {
+			return rwtest.Action{Text: "foreign"} // another generation's tokens
+		}
+		return rwtest.Action{}
+	}}
+	other := &rwtest.FakeAgent{Name: "b", Step: time.Millisecond, Hook: func(m wire.Message, off int) rwtest.Action {
+		if off == len(m.Prefix) {
+			close(stall)
+			return rwtest.Action{Delay: 50 * time.Millisecond}
+		}
+		return rwtest.Action{}
+	}}
+	rwtest.StartAgent(t, p, slow, "engine", []string{"m"})
+	e := startEntry(t, p)
+	s, err := e.Generate(context.Background(), longRequest("r1", 60), "a prompt")
+	require.NoError(t, err)
+	time.Sleep(30 * time.Millisecond) // attempt 1 starts on the only target
+	rwtest.StartAgent(t, p, other, "engine", []string{"m"})
+	toks, err := collect(t, s)
+	require.NoError(t, err)
+	assertChain(t, toks, 60)
+	assert.Equal(t, 2, s.Attempts())
+	assert.Positive(t, e.Stats().Discarded.Load(), "the late tokens of attempt 1 were not seen")
+}
+
+// When a target's stream ends early the answer resumes elsewhere from the
+// delivered prefix, and the new attempt is told that prefix.
+func TestResumeFromPrefix(t *testing.T) {
+	p := rwtest.StartPlatform(t)
+	dying := &rwtest.FakeAgent{Name: "a", Hook: func(m wire.Message, off int) rwtest.Action {
+		return rwtest.Action{Stop: m.Attempt == 1 && off == 33}
+	}}
+	spare := &rwtest.FakeAgent{Name: "b"}
+	rwtest.StartAgent(t, p, dying, "engine", []string{"m"})
+	e := startEntry(t, p)
+	s, err := e.Generate(context.Background(), longRequest("r2", 80), "a prompt")
+	require.NoError(t, err)
+	time.Sleep(30 * time.Millisecond)
+	rwtest.StartAgent(t, p, spare, "engine", []string{"m"})
+	toks, err := collect(t, s)
+	require.NoError(t, err)
+	assertChain(t, toks, 80)
+	starts := spare.Starts()
+	require.Len(t, starts, 1)
+	assert.Equal(t, 2, starts[0].Attempt)
+	assert.Len(t, starts[0].Prefix, 33)
+}
--- /dev/null
+++ b/rwtest/http.go
@@ -0,0 +1,18 @@
+package rwtest
+
+import (
+	"net/http"
+
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+func httpHandler(a *FakeAgent) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := wire.Accept(w, r)
+		if err != nil {
+			return
+		}
+		defer c.CloseNow()
+		a.serve(c)
+	})
+}
