At-most-once tests: a lost claim ack is read back, a store outage means not run

Change: the fake agent answers Call messages and counts runs per idempotency key. TestLostAckOnClaimRunsOnce loses the answer to the claim write (the write lands); TestStoreDownCallNotRun takes the table down.

Measured: both pass; the service ran k1 once across a call and its repeat (the repeat got the recorded answer), and k2 zero times while the caller was told ErrNotRun.

Conclusion: the claim - call - record path holds for these two faults.

--- /dev/null
+++ b/entry/call_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/entry"
+	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/rwtest"
+)
+
+func quote(id, key string) ragworthitch.Request {
+	return ragworthitch.NewRequest(ragworthitch.RequestParams{ID: id, Org: "o", Kind: ragworthitch.KindQuote,
+		Op: "quote", IdempotencyKey: key})
+}
+
+// The claim is written but its answer is lost: the entry reads it back,
+// finds its own claim, and runs the call once. A repeat gets the recorded
+// answer and does not run.
+func TestLostAckOnClaimRunsOnce(t *testing.T) {
+	p := rwtest.StartPlatform(t)
+	svc := &rwtest.FakeAgent{Name: "desk"}
+	rwtest.StartAgent(t, p, svc, "service", nil)
+	e := startEntry(t, p)
+	p.StandIn.SetFault(platform.Fault{LostAcks: 1})
+
+	a, err := e.Call(context.Background(), quote("q1", "k1"))
+	require.NoError(t, err)
+	assert.False(t, a.Replayed)
+	assert.Equal(t, 1, svc.Runs("k1"))
+
+	require.Eventually(t, func() bool {
+		r, ok := p.StandIn.Get("once/k1")
+		return ok && r.Version == 2
+	}, time.Second, 10*time.Millisecond, "the outcome was not recorded")
+	again, err := e.Call(context.Background(), quote("q2", "k1"))
+	require.NoError(t, err)
+	assert.True(t, again.Replayed)
+	assert.Equal(t, a.Text, again.Text)
+	assert.Equal(t, 1, svc.Runs("k1"))
+}
+
+// With the table down the claim cannot be made: the caller is told the call
+// was not run, and it truly was not.
+func TestStoreDownCallNotRun(t *testing.T) {
+	p := rwtest.StartPlatform(t)
+	svc := &rwtest.FakeAgent{Name: "desk"}
+	rwtest.StartAgent(t, p, svc, "service", nil)
+	e := startEntry(t, p)
+	p.StandIn.SetFault(platform.Fault{DownMs: 2000})
+
+	_, err := e.Call(context.Background(), quote("q1", "k2"))
+	require.Error(t, err)
+	assert.True(t, errors.Is(err, entry.ErrNotRun), "got %v", err)
+	assert.Equal(t, 0, svc.Runs("k2"))
+}
--- a/rwtest/rwtest.go
+++ b/rwtest/rwtest.go
@@ -37,6 +37,7 @@
 
 		mu     sync.Mutex
 		starts []wire.Message
+		runs   map[string]int
 	}
 
 	// Action tells a FakeAgent what to do with one token.
@@ -72,6 +73,13 @@
 	}
 }
 
+// Runs returns how often a call with this idempotency key ran.
+func (a *FakeAgent) Runs(key string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs[key]
+}
+
 // Starts returns the Start messages the agent got.
 func (a *FakeAgent) Starts() []wire.Message {
 	a.mu.Lock()
@@ -87,6 +95,16 @@
 		if err != nil {
 			return
 		}
+		if m.Type == wire.TypeCall {
+			a.mu.Lock()
+			if a.runs == nil {
+				a.runs = map[string]int{}
+			}
+			a.runs[m.IdempotencyKey]++
+			a.mu.Unlock()
+			c.Send(ctx, wire.Message{Type: wire.TypeResult, RequestID: m.RequestID, Attempt: m.Attempt, Answer: "ok " + m.Op})
+			continue
+		}
 		if m.Type != wire.TypeStart {
 			continue
 		}
