--- a/entry/entry.go
+++ b/entry/entry.go
@@ -348,3 +348,16 @@
 	}
 	return int(h % streamShards)
 }
+
+// KnowsAll reports whether the entry is connected to at least n agents.
+func (e *Entry) KnowsAll(n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	live := 0
+	for _, t := range e.targets {
+		if t.conn != nil {
+			live++
+		}
+	}
+	return live >= n
+}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/queue"
 	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/settings"
 	"github.com/ragworthitch/ragworthitch/wire"
@@ -18,7 +19,6 @@
 
 // Sizes of a stream.
 const (
-	eventBuffer  = 1024
 	linger       = time.Minute // a finished stream is kept this long for reconnects
 	requestTable = "req/"
 )
@@ -31,7 +31,7 @@
 		req    ragworthitch.Request
 		prompt string
 		key    uint64
-		events chan wire.Message
+		events queue.Queue[wire.Message]
 
 		mu       sync.Mutex
 		tokens   []ragworthitch.Token
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stream{e: e, req: req, prompt: prompt, key: key, events: make(chan wire.Message, eventBuffer), changed: make(chan struct{})}
+	s := &Stream{e: e, req: req, prompt: prompt, key: key, changed: make(chan struct{})}
 	sh := &e.streams[shardOf(req.ID())]
 	sh.mu.Lock()
 	if sh.m == nil {
@@ -145,15 +145,9 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Stream) deliver(m wire.Message) {
-	select {
-	case s.events <- m:
-	default:
-		// The driver is far behind; blocking here would hold up every
-		// stream of this agent, so hand it over in the background.
-		go func() { s.events <- m }()
-	}
-}
+// deliver queues a message for the driver; it never blocks, so a slow
+// stream cannot hold up the other streams of the same agent.
+func (s *Stream) deliver(m wire.Message) { s.events.Push(m) }
 
 func (s *Stream) onTarget(name string) bool {
 	s.mu.Lock()
@@ -273,26 +267,28 @@
 			return outcomeStopped, "stopped"
 		case <-t.C:
 			return outcomeFailed, fmt.Sprintf("no token for %v", stall)
-		case m := <-s.events:
-			if m.Attempt != attempt {
-				if m.Type == wire.TypeToken {
-					s.e.stats.Discarded.Add(1)
-				}
-				continue
-			}
-			switch m.Type {
-			case wire.TypeToken:
-				if ok, reason := s.take(m); !ok {
-					return outcomeFailed, reason
+		case <-s.events.Ready():
+			for _, m := range s.events.Take() {
+				if m.Attempt != attempt {
+					if m.Type == wire.TypeToken {
+						s.e.stats.Discarded.Add(1)
+					}
+					continue
 				}
-				t.Reset(stall)
-			case wire.TypeDone:
-				if n := s.delivered(); n < s.req.MaxTokens() {
-					return outcomeFailed, fmt.Sprintf("stream ended at %d of %d tokens", n, s.req.MaxTokens())
+				switch m.Type {
+				case wire.TypeToken:
+					if ok, reason := s.take(m); !ok {
+						return outcomeFailed, reason
+					}
+					t.Reset(stall)
+				case wire.TypeDone:
+					if n := s.delivered(); n < s.req.MaxTokens() {
+						return outcomeFailed, fmt.Sprintf("stream ended at %d of %d tokens", n, s.req.MaxTokens())
+					}
+					return outcomeDone, ""
+				case wire.TypeFail:
+					return outcomeFailed, m.Reason
 				}
-				return outcomeDone, ""
-			case wire.TypeFail:
-				return outcomeFailed, m.Reason
 			}
 		}
 	}
