--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestRoundTrip(t *testing.T) {
+	for _, m := range []Message{
+		{Type: TypeStart, RequestID: "r1", Attempt: 2, Fencing: 7, Model: "m", Prompt: "p q", MaxTokens: 9, Priority: 1, Seed: 3, Prefix: []string{"ta", "tb"}},
+		{Type: TypeToken, RequestID: "r1", Attempt: 2, Offset: 41, Text: "t1f2e3"},
+		{Type: TypeFail, RequestID: "r1", Attempt: 1, Reason: "stall", Fenced: true},
+		{Type: TypeLoad, Running: 12, Waiting: 3, AtMs: 1700000000000, Healthy: true, Fencing: 4},
+		{Type: TypeCall, RequestID: "q", Op: "quote", Org: "o", IdempotencyKey: "k"},
+	} {
+		b, err := Encode(m)
+		require.NoError(t, err)
+		got, err := Decode(b)
+		require.NoError(t, err)
+		assert.Equal(t, m, got)
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	_, err := Decode([]byte{0xff, 0x00})
+	assert.True(t, errors.Is(err, ErrBadFrame))
+	b, _ := Encode(Message{Type: 99})
+	_, err = Decode(b)
+	assert.True(t, errors.Is(err, ErrBadFrame))
+}
+
+// BenchmarkToken measures one token frame's encode and decode, and its
+// size on the wire (before WebSocket framing, 2 to 6 bytes more).
+func BenchmarkToken(b *testing.B) {
+	m := Message{Type: TypeToken, RequestID: "rimac-long-012", Attempt: 1, Offset: 812, Text: "t1f2e3"}
+	var n int
+	for b.Loop() {
+		buf, _ := Encode(m)
+		n = len(buf)
+		if _, err := Decode(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(n), "bytes/frame")
+}
+
+// BenchmarkLoad measures one load report frame.
+func BenchmarkLoad(b *testing.B) {
+	m := Message{Type: TypeLoad, Running: 31, Waiting: 4, AtMs: 1700000000000, Healthy: true, Fencing: 12}
+	var n int
+	for b.Loop() {
+		buf, _ := Encode(m)
+		n = len(buf)
+		if _, err := Decode(buf); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(n), "bytes/frame")
+}
