Entry death: checkpoints in the object store, takeover by conditional write

Change: each stream writes its request to prompt/ID once and its tokens to tokens/ID every 32 tokens or 250 ms (one write in flight, streaming goes on while the store is down). Entries hold a lease row entry/NAME. A reconnect (GET /v1/generate/ID with Last-Event-ID) at an entry that does not know the stream reads the request row: if its entry's lease is live the caller is told 503 with Retry-After 1; if lapsed, the entry takes the row over with a conditional write on its version, loads the checkpoints and drives the stream from the checkpointed prefix under the next attempt number. The load tool skips an unreachable entry for the next, as the balancer would.

--- a/cmd/ragworthitch/script_test.go
+++ b/cmd/ragworthitch/script_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -20,6 +21,9 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"sleep": sleep,
+		},
 		Setup: func(env *testscript.Env) error {
 			for i := range 10 {
 				p, err := freePort()
@@ -41,3 +45,14 @@
 	defer ln.Close()
 	return ln.Addr().(*net.TCPAddr).Port, nil
 }
+
+// sleep waits for a duration, so a script can act while a background
+// command runs: sleep 500ms.
+func sleep(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: sleep DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	ErrDuplicate = errors.New("entry: request id already in use")
 	// ErrUnknownStream is returned when a stream to reconnect to is not known.
 	ErrUnknownStream = errors.New("entry: unknown stream")
+	// ErrOwnedElsewhere is returned when another live entry drives a stream.
+	ErrOwnedElsewhere = errors.New("entry: stream driven by another entry")
 )
 
 type (
@@ -83,6 +85,7 @@
 		ResumeCount    atomic.Int64
 		CallsNotRun    atomic.Int64
 		CallsRecovered atomic.Int64
+		Adopted        atomic.Int64
 	}
 
 	target struct {
@@ -144,6 +147,7 @@
 	e.ctx = ctx
 	e.baseMu.Unlock()
 	p := pool.New().WithContext(ctx)
+	p.Go(e.heartbeat)
 	p.Go(func(ctx context.Context) error {
 		t := time.NewTicker(settings.Ms(e.cfg.Timeouts.RefreshMs))
 		defer t.Stop()
--- a/handlers/caller.go
+++ b/handlers/caller.go
@@ -76,8 +76,12 @@
 
 // reconnect continues a stream after the offset in Last-Event-ID.
 func (c caller) reconnect(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	s, err := c.e.Attach(p.ByName("id"))
-	if err != nil {
+	s, err := c.e.Attach(r.Context(), p.ByName("id"))
+	switch {
+	case errors.Is(err, entry.ErrOwnedElsewhere):
+		writeError(w, http.StatusServiceUnavailable, err.Error(), false, 1)
+		return
+	case err != nil:
 		writeError(w, http.StatusNotFound, err.Error(), false, c.retryAfter())
 		return
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -22,7 +22,8 @@
 
 // Limits of a replay.
 const (
-	reconnects   = 6
+	reconnects   = 30
+	retryPause   = 200 * time.Millisecond
 	readyTimeout = 20 * time.Second
 	orgPrefix    = 64 // words every prompt of an organisation starts with
 )
@@ -181,7 +182,6 @@
 }
 
 func (r *runner) request(ctx context.Context, q TraceRequest, i int) Result {
-	entry := r.entries[i%len(r.entries)]
 	if q.Kind == "long" {
 		return r.long(ctx, q, i)
 	}
@@ -190,14 +190,22 @@
 		op = map[string]string{"short": "status", "quote": "quote", "charge": "charge"}[q.Kind]
 	}
 	body, _ := json.Marshal(map[string]string{"org": q.Org})
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/call/"+op, bytes.NewReader(body))
-	req.Header.Set("X-Request-Id", q.ID)
-	if q.IdempotencyKey != "" {
-		req.Header.Set("Idempotency-Key", q.IdempotencyKey)
-	}
-	t0 := time.Now()
-	resp, err := r.http.Do(req)
 	res := Result{ID: q.ID, Kind: q.Kind, key: q.IdempotencyKey}
+	t0 := time.Now()
+	// Like the platform's balancer, an entry that cannot be reached is
+	// skipped for the next; the same idempotency key makes that safe.
+	var resp *http.Response
+	var err error
+	for try := range len(r.entries) {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.entries[(i+try)%len(r.entries)]+"/v1/call/"+op, bytes.NewReader(body))
+		req.Header.Set("X-Request-Id", q.ID)
+		if q.IdempotencyKey != "" {
+			req.Header.Set("Idempotency-Key", q.IdempotencyKey)
+		}
+		if resp, err = r.http.Do(req); err == nil {
+			break
+		}
+	}
 	res.Ms = float64(time.Since(t0).Microseconds()) / 1000
 	if err != nil {
 		res.Verdict, res.Detail = "failed", err.Error()
@@ -262,7 +270,7 @@
 		resp, err := r.http.Do(req)
 		if err != nil {
 			res.Detail = err.Error()
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(retryPause)
 			continue
 		}
 		if resp.StatusCode != http.StatusOK {
@@ -277,7 +285,7 @@
 				return res
 			}
 			res.Detail = eb.Error
-			time.Sleep(200 * time.Millisecond)
+			time.Sleep(retryPause)
 			continue
 		}
 		end, detail := readSSE(resp.Body, func(t received) {
