--- a/load/run.go
+++ b/load/run.go
@@ -177,7 +177,7 @@
 	case FaultStoreSlow:
 		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{SlowMs: 400, SlowForMs: f.ForMs})
 	case FaultLostAck:
-		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{LostAcks: max(1, int(f.ForMs))})
+		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{LostAcks: max(1, int(f.ForMs)), LostAckPrefix: f.Target})
 	}
 }
 
--- a/load/trace.go
+++ b/load/trace.go
@@ -56,7 +56,9 @@
 		Priority       int    `json:"priority,omitempty"`
 	}
 
-	// TraceFault is a fault in a trace.
+	// TraceFault is a fault in a trace. Target names the engine for
+	// engine faults and the key prefix for lostAck (ForMs is then the
+	// number of answers lost).
 	TraceFault struct {
 		Kind   string `json:"kind"`
 		Target string `json:"target,omitempty"`
