--- a/entry/stream.go
+++ b/entry/stream.go
@@ -207,6 +207,7 @@
 			e.stats.Resumes.Add(1)
 			e.stats.Recomputed.Add(int64(len(prefix)))
 			e.scope.Counter("resumes").Inc(1)
+			e.scope.Counter("tokensRecomputed").Inc(int64(len(prefix)))
 			log.Info().Int("attempt", attempt).Str("target", name).Int("offset", len(prefix)).Msgf("resume: attempt %d on %s from offset %d", attempt, name, len(prefix))
 		}
 		start := wire.Message{Type: wire.TypeStart, RequestID: s.req.ID(), Attempt: attempt, Fencing: epoch,
