Graceful drain: an agent told to stop takes no new work, waits, then moves its streams

Change: on SIGTERM/SIGINT the agent drains before its parts stop: it refuses new orders, writes draining into its lease row at once (entries skip draining targets at their next refresh), waits up to timeouts.drainMs (default 10 s) for orders in progress, and moves the rest by sending each a Fail so its entry resumes it elsewhere from the delivered prefix.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -61,6 +61,9 @@
 		validUntil time.Time
 		conns      map[*wire.Conn]struct{}
 		healthy    bool
+		draining   bool
+		relays     map[streamKey]relayRef
+		refused    int
 	}
 )
 
@@ -70,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{cfg: cfg, target: t, log: log, conns: map[*wire.Conn]struct{}{},
+	a := &Agent{cfg: cfg, target: t, log: log, conns: map[*wire.Conn]struct{}{}, relays: map[streamKey]relayRef{},
 		pf: platform.NewClient(cfg.Platform.Listen, time.Second)}
 	if t.Kind == settings.KindEngine {
 		a.eng = engine.NewClient(t.Listen)
@@ -87,7 +90,20 @@
 		return err
 	}
 	srv := &http.Server{Handler: a.Handler()}
-	p := pool.New().WithContext(ctx).WithCancelOnError()
+	// The parts run in their own context: when ctx ends the agent drains
+	// first, then stops them together.
+	life, stop := context.WithCancel(context.Background())
+	defer stop()
+	p := pool.New().WithContext(life).WithCancelOnError()
+	p.Go(func(life context.Context) error {
+		select {
+		case <-life.Done():
+		case <-ctx.Done():
+			a.Drain(life, settings.Ms(a.cfg.Timeouts.DrainMs))
+			stop()
+		}
+		return nil
+	})
 	p.Go(func(ctx context.Context) error { return a.leaseLoop(ctx) })
 	p.Go(func(ctx context.Context) error { return a.loadLoop(ctx) })
 	p.Go(func(ctx context.Context) error {
@@ -194,8 +210,10 @@
 }
 
 func (a *Agent) value(epoch uint64) LeaseValue {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return LeaseValue{Target: a.target.Name, Kind: a.target.Kind, Zone: a.target.Zone,
-		Agent: a.target.Agent, Models: a.target.Models, Epoch: epoch}
+		Agent: a.target.Agent, Models: a.target.Models, Epoch: epoch, Draining: a.draining}
 }
 
 // loadLoop reads the target's load and sends it to every entry.
@@ -280,6 +298,11 @@
 					mu.Unlock()
 					scancel()
 				}()
+				if !a.track(k, relayRef{cancel: scancel, conn: c, m: m}) {
+					a.fail(sctx, c, m, "target draining", false)
+					return
+				}
+				defer a.untrack(k)
 				if m.Type == wire.TypeStart {
 					a.relay(sctx, c, m)
 				} else {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,6 +79,7 @@
 		ShortMs     int `yaml:"shortMs"`
 		RetryAfterS int `yaml:"retryAfterS"`
 		RefreshMs   int `yaml:"refreshMs"`
+		DrainMs     int `yaml:"drainMs"`
 	}
 
 	// Engine sets how the stand-in engines behave.
@@ -224,6 +225,7 @@
 	setDefault(&t.ShortMs, 3000)
 	setDefault(&t.RetryAfterS, 2)
 	setDefault(&t.RefreshMs, 250)
+	setDefault(&t.DrainMs, 10000)
 	e := &f.Engine
 	setDefault(&e.StepMs, 10)
 	setDefault(&e.Batch, 32)
@@ -260,6 +262,7 @@
 		"stallMs": f.Timeouts.StallMs, "heartbeatMs": f.Timeouts.HeartbeatMs,
 		"leaseMs": f.Timeouts.LeaseMs, "shortMs": f.Timeouts.ShortMs,
 		"retryAfterS": f.Timeouts.RetryAfterS, "refreshMs": f.Timeouts.RefreshMs,
+		"drainMs": f.Timeouts.DrainMs,
 	} {
 		if v < 0 {
 			c.fail("$.timeouts."+k, fmt.Sprintf("timeout must not be negative, have %d", v))
