--- a/cmd/ragworthitch/agent.go
+++ b/cmd/ragworthitch/agent.go
@@ -19,15 +19,10 @@
 func (c *agentCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
 func (c *agentCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cfg, err := c.load()
+	cfg, t, log, err := c.target("", "agent-")
 	if err != nil {
 		return fail(err)
 	}
-	t, err := cfg.Target(c.name)
-	if err != nil {
-		return fail(err)
-	}
-	log := logger(cfg, "agent-"+t.Name, t.Zone)
 	a, err := agent.New(cfg, t.Name, log)
 	if err != nil {
 		return fail(err)
--- a/cmd/ragworthitch/common.go
+++ b/cmd/ragworthitch/common.go
@@ -30,11 +30,24 @@
 }
 
 func (p *part) load() (*settings.File, error) {
-	cfg, err := settings.Load(p.settings)
+	return settings.Load(p.settings)
+}
+
+// target loads the settings and finds this process's target, which must be
+// of kind (any kind when empty), with its logger.
+func (p *part) target(kind, prefix string) (*settings.File, settings.Target, zerolog.Logger, error) {
+	cfg, err := p.load()
 	if err != nil {
-		return nil, err
+		return nil, settings.Target{}, zerolog.Logger{}, err
+	}
+	t, err := cfg.Target(p.name)
+	if err != nil {
+		return nil, settings.Target{}, zerolog.Logger{}, err
+	}
+	if kind != "" && t.Kind != kind {
+		return nil, settings.Target{}, zerolog.Logger{}, fmt.Errorf("target %s is a %s, not a %s", t.Name, t.Kind, kind)
 	}
-	return cfg, nil
+	return cfg, t, logger(cfg, prefix+t.Name, t.Zone), nil
 }
 
 func logger(cfg *settings.File, name, zone string) zerolog.Logger {
--- a/cmd/ragworthitch/engine.go
+++ b/cmd/ragworthitch/engine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
 	"github.com/google/subcommands"
 
@@ -21,18 +20,10 @@
 func (c *engineCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
 func (c *engineCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cfg, err := c.load()
+	cfg, t, log, err := c.target(settings.KindEngine, "")
 	if err != nil {
 		return fail(err)
 	}
-	t, err := cfg.Target(c.name)
-	if err != nil {
-		return fail(err)
-	}
-	if t.Kind != settings.KindEngine {
-		return fail(fmt.Errorf("target %s is a %s, not an engine", t.Name, t.Kind))
-	}
-	log := logger(cfg, t.Name, t.Zone)
 	s := engine.NewStandIn(engine.StandInConfig{
 		Name: t.Name, Models: t.Models, Step: settings.Ms(cfg.Engine.StepMs), Batch: cfg.Engine.Batch,
 		CacheBlocks: cfg.Engine.CacheBlocks, LoadLag: settings.Ms(cfg.Engine.LoadLagMs),
--- a/cmd/ragworthitch/service.go
+++ b/cmd/ragworthitch/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"time"
 
 	"github.com/google/subcommands"
@@ -22,18 +21,10 @@
 func (c *serviceCmd) SetFlags(f *flag.FlagSet) { c.flags(f) }
 
 func (c *serviceCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cfg, err := c.load()
+	_, t, log, err := c.target(settings.KindService, "")
 	if err != nil {
 		return fail(err)
 	}
-	t, err := cfg.Target(c.name)
-	if err != nil {
-		return fail(err)
-	}
-	if t.Kind != settings.KindService {
-		return fail(fmt.Errorf("target %s is a %s, not a service", t.Name, t.Kind))
-	}
-	log := logger(cfg, t.Name, t.Zone)
 	s := &service.StandIn{Name: t.Name, Latency: 2 * time.Millisecond}
 	log.Info().Str("listen", t.Listen).Msg("service: started")
 	if err := serve(ctx, t.Listen, s.Handler()); err != nil {
--- a/cmd/ragworthitch/settings.go
+++ b/cmd/ragworthitch/settings.go
@@ -6,8 +6,6 @@
 	"fmt"
 
 	"github.com/google/subcommands"
-
-	"github.com/ragworthitch/ragworthitch/settings"
 )
 
 type settingsCmd struct {
@@ -40,6 +38,5 @@
 	for _, e := range cfg.Entries {
 		fmt.Println("entry", e.Name)
 	}
-	_ = settings.KindEngine
 	return subcommands.ExitSuccess
 }
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -20,14 +20,20 @@
 		Op: "quote", IdempotencyKey: key})
 }
 
+// startDesk runs an entry with one fake plain service.
+func startDesk(t *testing.T) (*rwtest.Platform, *rwtest.FakeAgent, *entry.Entry) {
+	t.Helper()
+	p := rwtest.StartPlatform(t)
+	svc := &rwtest.FakeAgent{Name: "desk"}
+	rwtest.StartAgent(t, p, svc, "service", nil)
+	return p, svc, startEntry(t, p)
+}
+
 // The claim is written but its answer is lost: the entry reads it back,
 // finds its own claim, and runs the call once. A repeat gets the recorded
 // answer and does not run.
 func TestLostAckOnClaimRunsOnce(t *testing.T) {
-	p := rwtest.StartPlatform(t)
-	svc := &rwtest.FakeAgent{Name: "desk"}
-	rwtest.StartAgent(t, p, svc, "service", nil)
-	e := startEntry(t, p)
+	p, svc, e := startDesk(t)
 	p.StandIn.SetFault(platform.Fault{LostAcks: 1})
 
 	a, err := e.Call(context.Background(), quote("q1", "k1"))
@@ -49,10 +55,7 @@
 // With the table down the claim cannot be made: the caller is told the call
 // was not run, and it truly was not.
 func TestStoreDownCallNotRun(t *testing.T) {
-	p := rwtest.StartPlatform(t)
-	svc := &rwtest.FakeAgent{Name: "desk"}
-	rwtest.StartAgent(t, p, svc, "service", nil)
-	e := startEntry(t, p)
+	p, svc, e := startDesk(t)
 	p.StandIn.SetFault(platform.Fault{DownMs: 2000})
 
 	_, err := e.Call(context.Background(), quote("q1", "k2"))
--- a/handlers/caller.go
+++ b/handlers/caller.go
@@ -55,10 +55,7 @@
 // events; each event's id is the token's offset.
 func (c caller) generate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var b generateBody
-	dec := json.NewDecoder(io.LimitReader(r.Body, maxBody))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&b); err != nil {
-		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
+	if !decodeBody(w, r, &b) {
 		return
 	}
 	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
@@ -145,10 +142,7 @@
 		return
 	}
 	var b callBody
-	dec := json.NewDecoder(io.LimitReader(r.Body, maxBody))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&b); err != nil {
-		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
+	if !decodeBody(w, r, &b) {
 		return
 	}
 	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
@@ -185,6 +179,17 @@
 	}
 }
 
+// decodeBody reads a JSON body strictly; on failure it has answered 400.
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
+		return false
+	}
+	return true
+}
+
 func countWords(s string) int {
 	n, in := 0, false
 	for i := 0; i < len(s); i++ {
