Partitions and agent pauses as faults; agents keep authority through a store outage

Ruled out: the entry (it routed correctly) and the platform stand-in (it refused as told); the refusals came from agent.fenced().

Change: - agent: POST /debug/fault {partition|pause, forMs}: a partition drops every entry connection and refuses new ones while the engine runs on; a pause freezes relaying and reading, then sends what it held, late. - entry: POST /debug/fault {die} exits at once (the trace's killEntry). - load: fault kinds partition, pauseAgent, killEntry; -faults all|none|LIST replays one trace with a chosen fault class; traces carry a partition, an agent pause, a store outage and lost acks.

Conclusion: a store outage no longer stops new work; fencing still holds for a paused holder.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -59,11 +59,14 @@
 		epoch      uint64
 		version    int64
 		validUntil time.Time
+		activeAt   time.Time // a new holder waits out the old holder's lease
+		storeDown  bool      // the last renewal found the store unreachable
 		conns      map[*wire.Conn]struct{}
 		healthy    bool
 		draining   bool
 		relays     map[streamKey]relayRef
 		refused    int
+		faults     faults
 	}
 )
 
@@ -132,17 +135,29 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(wire.Path, a.serveWire)
+	mux.HandleFunc("POST /debug/fault", a.serveFault)
 	return mux
 }
 
-// Epoch returns the lease epoch while the lease is held, else 0.
+// Epoch returns the lease epoch while the agent may act on it, else 0.
+//
+// It may act while its lease is valid by its own clock, and also past that
+// while the store cannot be reached: no other holder can take the lease
+// without the store, and one that takes it when the store returns waits a
+// whole lease before acting, longer than this agent needs to see the
+// conflict at its next heartbeat and stop. A holder that was paused (and so
+// did not try to renew) gets no such grace.
 func (a *Agent) Epoch() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if time.Now().After(a.validUntil) {
+	now := time.Now()
+	if a.epoch == 0 || now.Before(a.activeAt) {
 		return 0
 	}
-	return a.epoch
+	if now.Before(a.validUntil) || a.storeDown {
+		return a.epoch
+	}
+	return 0
 }
 
 // leaseLoop takes the lease and renews it every heartbeat.
@@ -172,13 +187,21 @@
 	start := time.Now()
 	if epoch > 0 {
 		row, err := a.pf.Put(ctx, key, version, a.value(epoch), ttl)
-		if err == nil {
+		switch {
+		case err == nil:
 			a.hold(epoch, row.Version, start.Add(ttl))
 			return nil
-		}
-		if !errors.Is(err, platform.ErrConflict) {
+		case errors.Is(err, platform.ErrUnavailable):
+			a.setStoreDown(true, epoch)
 			return err
 		}
+		if cur, derr := decodeLease(row.Value); derr == nil && cur.Epoch == epoch {
+			// Our own renewal landed though its answer was lost.
+			a.mu.Lock()
+			a.version = row.Version
+			a.mu.Unlock()
+			return nil
+		}
 		a.log.Warn().Uint64("epoch", epoch).Msg("agent: lease lost to another holder")
 		a.hold(0, 0, time.Time{})
 	}
@@ -199,7 +222,12 @@
 		return err
 	}
 	a.hold(epoch, row.Version, start.Add(ttl))
-	a.log.Info().Uint64("epoch", epoch).Msg("agent: lease taken")
+	if old.Epoch > 0 {
+		a.mu.Lock()
+		a.activeAt = start.Add(ttl)
+		a.mu.Unlock()
+	}
+	a.log.Info().Uint64("epoch", epoch).Msgf("agent: lease taken, epoch %d", epoch)
 	return nil
 }
 
@@ -207,6 +235,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.epoch, a.version, a.validUntil = epoch, version, until
+	a.storeDown = false
+}
+
+func (a *Agent) setStoreDown(down bool, epoch uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if down && !a.storeDown {
+		a.log.Warn().Uint64("epoch", epoch).Msg("agent: store unreachable, acting on epoch until it returns")
+	}
+	a.storeDown = down
 }
 
 func (a *Agent) value(epoch uint64) LeaseValue {
@@ -241,6 +279,9 @@
 			conns = append(conns, c)
 		}
 		a.mu.Unlock()
+		if a.faults.cut() {
+			continue
+		}
 		for _, c := range conns {
 			sctx, cancel := context.WithTimeout(ctx, time.Second)
 			c.Send(sctx, m)
@@ -255,6 +296,10 @@
 }
 
 func (a *Agent) serveWire(w http.ResponseWriter, r *http.Request) {
+	if a.faults.cut() {
+		http.Error(w, "agent: partitioned", http.StatusServiceUnavailable)
+		return
+	}
 	c, err := wire.Accept(w, r)
 	if err != nil {
 		a.log.Warn().Err(err).Msg("agent: wire accept failed")
@@ -282,6 +327,7 @@
 		if err != nil {
 			return
 		}
+		a.faults.waitPause(ctx) // a paused agent reads nothing either
 		switch m.Type {
 		case wire.TypeStart, wire.TypeCall:
 			k := streamKey{m.RequestID, m.Attempt}
@@ -359,6 +405,7 @@
 			}
 			return
 		}
+		a.faults.waitPause(ctx)
 		if err := c.Send(ctx, wire.Message{Type: wire.TypeToken, RequestID: m.RequestID, Attempt: m.Attempt, Offset: off, Text: tok}); err != nil {
 			return
 		}
--- a/cmd/ragworthitch/load.go
+++ b/cmd/ragworthitch/load.go
@@ -21,6 +21,7 @@
 	json    bool
 	verbose bool
 	timeout time.Duration
+	faults  string
 }
 
 func (*loadCmd) Name() string     { return "load" }
@@ -35,6 +36,7 @@
 	f.BoolVar(&c.json, "json", false, "print the summary as one JSON object on the last line")
 	f.BoolVar(&c.verbose, "v", false, "print the verdict on every request")
 	f.DurationVar(&c.timeout, "timeout", 2*time.Minute, "the replay ends by then")
+	f.StringVar(&c.faults, "faults", "all", "fault kinds of the trace to replay: all, none, or a comma-separated list")
 }
 
 func (c *loadCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -49,6 +51,9 @@
 	if err != nil {
 		return fail(err)
 	}
+	if c.faults != "all" {
+		events = load.Only(events, strings.Split(c.faults, ","))
+	}
 	var entries []string
 	if c.entries != "" {
 		entries = strings.Split(c.entries, ",")
--- a/handlers/debug.go
+++ b/handlers/debug.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -34,6 +35,19 @@
 	}
 )
 
+// fault makes the entry die at once (kind "die"), as a crash would; for
+// the load tool's killEntry.
+func (d debug) fault(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var f struct {
+		Kind string `json:"kind"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil || f.Kind != "die" {
+		writeError(w, http.StatusBadRequest, "bad fault: the one kind is die", false, 0)
+		return
+	}
+	os.Exit(3)
+}
+
 func (d debug) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if !d.e.Ready() {
 		writeError(w, http.StatusServiceUnavailable, "no live target yet", true, 1)
--- a/handlers/handlers.go
+++ b/handlers/handlers.go
@@ -41,6 +41,7 @@
 	d := debug{e: e, m: m}
 	r.GET("/healthz", d.health)
 	r.GET("/debug/stats", d.stats)
+	r.POST("/debug/fault", d.fault)
 	if m != nil {
 		r.Handler(http.MethodGet, "/debug/metrics", m)
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragworthitch/ragworthitch/agent"
 	"github.com/ragworthitch/ragworthitch/engine"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/settings"
@@ -171,11 +172,35 @@
 		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{DownMs: f.ForMs})
 	case FaultStoreSlow:
 		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{SlowMs: 400, SlowForMs: f.ForMs})
+	case FaultPartition, FaultPauseAgent:
+		t, err := r.cfg.Target(f.Target)
+		if err != nil {
+			return
+		}
+		kind := agent.FaultPartition
+		if f.Kind == FaultPauseAgent {
+			kind = agent.FaultPause
+		}
+		r.postFault(ctx, t.Agent, agent.Fault{Kind: kind, ForMs: f.ForMs})
+	case FaultKillEntry:
+		e, err := r.cfg.Entry(f.Target)
+		if err != nil {
+			return
+		}
+		r.postFault(ctx, e.Listen, map[string]string{"kind": "die"})
 	case FaultLostAck:
 		platform.NewClient(r.cfg.Platform.Listen, time.Second).SetFault(ctx, platform.Fault{LostAcks: max(1, int(f.ForMs)), LostAckPrefix: f.Target})
 	}
 }
 
+func (r *runner) postFault(ctx context.Context, addr string, body any) {
+	b, _ := json.Marshal(body)
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/debug/fault", bytes.NewReader(b))
+	if resp, err := r.http.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
 func (r *runner) request(ctx context.Context, q TraceRequest, i int) Result {
 	if q.Kind == "long" {
 		return r.long(ctx, q, i)
--- a/load/trace.go
+++ b/load/trace.go
@@ -30,10 +30,36 @@
 	FaultStoreDown   = "storeDown"
 	FaultStoreSlow   = "storeSlow"
 	FaultLostAck     = "lostAck"
+	FaultPartition   = "partition"  // an agent cut off from the entries
+	FaultPauseAgent  = "pauseAgent" // an agent frozen, its tokens sent late
+	FaultKillEntry   = "killEntry"  // an entry exits at once
 )
 
-// ErrTrace is wrapped by every error about a trace's content.
-var ErrTrace = errors.New("load: bad trace")
+var (
+	// ErrTrace is wrapped by every error about a trace's content.
+	ErrTrace = errors.New("load: bad trace")
+
+	knownFaults = map[string]bool{
+		FaultPauseEngine: true, FaultKillEngine: true, FaultStoreDown: true, FaultStoreSlow: true,
+		FaultLostAck: true, FaultPartition: true, FaultPauseAgent: true, FaultKillEntry: true,
+	}
+)
+
+// Only keeps the requests and the faults of the named kinds ("none" keeps
+// no fault), so one trace serves runs with and without each fault class.
+func Only(events []Event, kinds []string) []Event {
+	keep := map[string]bool{}
+	for _, k := range kinds {
+		keep[k] = true
+	}
+	var out []Event
+	for _, e := range events {
+		if e.Fault == nil || keep[e.Fault.Kind] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
 
 type (
 	// Event is one line of a trace.
@@ -117,8 +143,8 @@
 		return errors.New("a request needs an id")
 	case e.Request != nil && e.Request.Kind == "long" && e.Request.MaxTokens <= 0:
 		return errors.New("a long request needs maxTokens")
-	case e.Fault != nil && e.Fault.Kind == "":
-		return errors.New("a fault needs a kind")
+	case e.Fault != nil && !knownFaults[e.Fault.Kind]:
+		return fmt.Errorf("unknown fault kind %q", e.Fault.Kind)
 	}
 	return nil
 }
