Writes refused during a store outage are made again, so a stream begun then can still be taken over

Cause: ./demo rimac with every fault at once (store outage, then an entry SIGKILLed) lost 5 answers, 597 tokens missing: 'unknown stream: platform: not found' - streams begun while the store was down had neither a request row nor a prompt checkpoint, and when their entry died no other entry could continue them. Ruled out: the takeover path (it works for streams whose rows exist, entry_death.txtar) and the load tool (it reconnected as it should).

Change: each stream keeps what the store refused - its prompt checkpoint and the request row's last state - and writes them again every 200 ms until they land (Stream.keepDurable); adopted streams do the same.

Conclusion: a store outage followed by an entry's death no longer loses an answer, as long as the store returns before the entry dies.

--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -71,7 +71,11 @@
 	b, _ := json.Marshal(v)
 	if err := s.e.pf.PutObject(ctx, promptObject+s.req.ID(), b); err != nil {
 		s.e.stats.TableErrors.Add(1)
+		return
 	}
+	s.mu.Lock()
+	s.promptSaved = true
+	s.mu.Unlock()
 }
 
 // maybeCheckpoint starts a checkpoint write when enough has arrived since
@@ -148,6 +152,7 @@
 		s.tokens = append(s.tokens, ragworthitch.NewToken(i, a, t))
 	}
 	s.saved = len(s.tokens)
+	s.promptSaved = true
 	s.version, s.attempt = row.Version, rr.Attempt
 	s.done = len(s.tokens) >= pv.MaxTokens
 	if !e.register(s) {
@@ -166,6 +171,7 @@
 	e.log.Info().Str("request", id).Str("from", rr.Entry).Int("offset", len(s.tokens)).
 		Msgf("resume: stream %s taken over from %s at offset %d", id, rr.Entry, len(s.tokens))
 	s.resumeAt = time.Now()
+	go s.keepDurable(e.base())
 	go s.drive(e.base(), rr.Attempt+1, "", nil, 0)
 	return s, nil
 }
--- a/entry/record.go
+++ b/entry/record.go
@@ -9,6 +9,9 @@
 	"github.com/ragworthitch/ragworthitch/platform"
 )
 
+// durableRetry is how often writes the store refused are tried again.
+const durableRetry = 200 * time.Millisecond
+
 // record writes the request's row with a conditional write on the version
 // this stream last wrote. A conflict means another entry holds the request.
 // When the table is down the stream goes on and the row is written later.
@@ -34,14 +37,51 @@
 	}
 	if err != nil {
 		s.e.stats.TableErrors.Add(1)
+		if errors.Is(err, platform.ErrUnavailable) {
+			s.mu.Lock()
+			s.rowDirty, s.rowState = true, state
+			s.mu.Unlock()
+		}
 		return err
 	}
 	s.mu.Lock()
 	s.version = r.Version
+	if s.rowState == state {
+		s.rowDirty = false
+	}
 	s.mu.Unlock()
 	return nil
 }
 
+// keepDurable writes again what the store refused while it was down - the
+// prompt checkpoint and the request row - so that another entry can take
+// the stream over once the store returns. Found by the demo with every
+// fault at once: streams begun during a store outage had neither, and when
+// their entry died no other entry could continue them.
+func (s *Stream) keepDurable(ctx context.Context) {
+	t := time.NewTicker(durableRetry)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		prompt, dirty, state, done := !s.promptSaved, s.rowDirty, s.rowState, s.done
+		s.mu.Unlock()
+		if !prompt && !dirty && done {
+			return
+		}
+		if prompt {
+			s.savePrompt(ctx)
+		}
+		if dirty {
+			s.record(ctx, state)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 func sameRow(raw []byte, want requestRow) bool {
 	var got requestRow
 	return json.Unmarshal(raw, &got) == nil && got == want
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -44,6 +44,10 @@
 		saving   bool
 		saved    int
 		savedAt  time.Time
+
+		promptSaved bool   // the prompt checkpoint is in the store
+		rowDirty    bool   // the request row's last write did not land
+		rowState    string // the state that write carried
 	}
 
 	// requestRow is the value of a request's row in the table.
@@ -84,6 +88,7 @@
 	}
 	e.stats.Streams.Add(1)
 	s.savePrompt(ctx)
+	go s.keepDurable(e.base())
 	go s.drive(e.base(), 1, name, conn, epoch)
 	return s, nil
 }
