--- a/load/run.go
+++ b/load/run.go
@@ -60,13 +60,14 @@
 
 	// Result is the verdict on one request.
 	Result struct {
-		ID      string  `json:"id"`
-		Kind    string  `json:"kind"`
-		Verdict string  `json:"verdict"` // complete, notRun, failed, unknown
-		Detail  string  `json:"detail,omitempty"`
-		Ms      float64 `json:"ms"`
-		v       verdict
-		key     string
+		ID       string  `json:"id"`
+		Kind     string  `json:"kind"`
+		Verdict  string  `json:"verdict"` // complete, notRun, failed, unknown
+		Detail   string  `json:"detail,omitempty"`
+		Ms       float64 `json:"ms"`
+		v        verdict
+		key      string
+		replayed bool // the recorded answer of an earlier run
 	}
 
 	runner struct {
@@ -233,14 +234,15 @@
 	}
 	defer resp.Body.Close()
 	var eb struct {
-		Error  string `json:"error"`
-		NotRun bool   `json:"notRun"`
+		Error    string `json:"error"`
+		NotRun   bool   `json:"notRun"`
+		Replayed bool   `json:"replayed"`
 	}
 	b, _ := io.ReadAll(resp.Body)
 	json.Unmarshal(b, &eb)
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		res.Verdict = "complete"
+		res.Verdict, res.replayed = "complete", eb.Replayed
 	case eb.NotRun:
 		res.Verdict, res.Detail = "notRun", eb.Error
 	case resp.StatusCode == http.StatusConflict:
--- a/load/summary.go
+++ b/load/summary.go
@@ -17,8 +17,14 @@
 	var s Summary
 	s.ElapsedMs = time.Since(r.start).Milliseconds()
 	var gaps, shorts []float64
+	// Per idempotency key: was any call told "not run", and how many calls
+	// may have run it (a fresh answer, an unknown outcome or a failure).
 	notRunKeys := map[string]bool{}
+	mayHaveRun := map[string]int{}
 	for _, res := range r.results {
+		if res.key != "" && res.Verdict != "notRun" && !res.replayed {
+			mayHaveRun[res.key]++
+		}
 		s.Answers++
 		switch res.Verdict {
 		case "complete":
@@ -79,8 +85,8 @@
 			if n > 1 {
 				s.DoubleCharges += n - 1
 			}
-			if notRunKeys[k] {
-				s.NotRunButRan++
+			if notRunKeys[k] && n > mayHaveRun[k] {
+				s.NotRunButRan += n - mayHaveRun[k]
 			}
 		}
 	}
