--- a/agent/agent.go
+++ b/agent/agent.go
@@ -274,11 +274,8 @@
 			a.log.Info().Bool("healthy", m.Healthy).Msg("agent: target health changed")
 		}
 		a.healthy = m.Healthy
-		conns := make([]*wire.Conn, 0, len(a.conns))
-		for c := range a.conns {
-			conns = append(conns, c)
-		}
 		a.mu.Unlock()
+		conns := a.connections()
 		if a.faults.cut() {
 			continue
 		}
@@ -290,6 +287,17 @@
 	}
 }
 
+// connections returns the entry connections open now.
+func (a *Agent) connections() []*wire.Conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	conns := make([]*wire.Conn, 0, len(a.conns))
+	for c := range a.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
 type streamKey struct {
 	id      string
 	attempt int
--- a/agent/fault.go
+++ b/agent/fault.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 // Fault kinds of POST /debug/fault, for tests and the load tool.
@@ -70,12 +68,7 @@
 		a.faults.mu.Lock()
 		a.faults.cutUntil = until
 		a.faults.mu.Unlock()
-		a.mu.Lock()
-		conns := make([]*wire.Conn, 0, len(a.conns))
-		for c := range a.conns {
-			conns = append(conns, c)
-		}
-		a.mu.Unlock()
+		conns := a.connections()
 		for _, c := range conns {
 			c.CloseNow()
 		}
