Scripts: ports below the ephemeral range; a part that can't start fails its script at once

Cause: scripts chose a port by listening on port 0 and releasing it. Such a port lies in the kernel's ephemeral range (32768-60999 here), so any outgoing connection made before the part listens can take it as its source port; a trial that dialled from the released port made the later listen fail with 'address already in use'. The part then ended, nothing said so, and the load tool waited its 20 s for an entry that was not there.

--- a/cmd/ragworthitch/common.go
+++ b/cmd/ragworthitch/common.go
@@ -61,12 +61,14 @@
 }
 
 // serve runs h on addr until ctx ends, next to the other funcs of a run
-// group that stops together.
-func serve(ctx context.Context, addr string, h http.Handler, also ...func(context.Context) error) error {
+// group that stops together. Once it listens it logs that the part named by
+// prefix has started.
+func serve(ctx context.Context, log zerolog.Logger, prefix, addr string, h http.Handler, also ...func(context.Context) error) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
+	log.Info().Str("listen", addr).Msg(prefix + ": started")
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	p := pool.New().WithContext(ctx).WithCancelOnError()
 	p.Go(func(ctx context.Context) error {
--- a/cmd/ragworthitch/engine.go
+++ b/cmd/ragworthitch/engine.go
@@ -32,8 +32,7 @@
 	stop := make(chan struct{})
 	go s.Run(stop)
 	defer close(stop)
-	log.Info().Str("listen", t.Listen).Msg("engine: started")
-	if err := serve(ctx, t.Listen, s.Handler()); err != nil {
+	if err := serve(ctx, log, "engine", t.Listen, s.Handler()); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("engine: stopped")
--- a/cmd/ragworthitch/entry.go
+++ b/cmd/ragworthitch/entry.go
@@ -36,8 +36,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	log.Info().Str("listen", self.Listen).Msg("entry: started")
-	if err := serve(ctx, self.Listen, handlers.New(e, rep), e.Run); err != nil {
+	if err := serve(ctx, log, "entry", self.Listen, handlers.New(e, rep), e.Run); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("entry: stopped")
--- a/cmd/ragworthitch/platform.go
+++ b/cmd/ragworthitch/platform.go
@@ -25,8 +25,7 @@
 	}
 	log := logger(cfg, "platform", cfg.Platform.Zone)
 	var s platform.StandIn
-	log.Info().Str("listen", cfg.Platform.Listen).Msg("platform: started")
-	if err := serve(ctx, cfg.Platform.Listen, s.Handler()); err != nil {
+	if err := serve(ctx, log, "platform", cfg.Platform.Listen, s.Handler()); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("platform: stopped")
--- a/cmd/ragworthitch/script_test.go
+++ b/cmd/ragworthitch/script_test.go
@@ -2,14 +2,53 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// Ports for the scripts' processes lie below the kernel's ephemeral range
+// (32768 and up): a port of that range, chosen and released, can be taken as
+// the source port of any outgoing connection before the process listens.
+const (
+	portsFrom = 20000
+	portsTo   = 32000
+
+	scriptPorts = 10 // $P0 to $P9
+
+	partStartTimeout = 10 * time.Second // a part starts in under 0.2 s beside load
+	partEndTimeout   = 10 * time.Second // drains in the scripts take up to 2 s
+)
+
+type (
+	// background is one part of a scenario running as its own process.
+	background struct {
+		cmd  *exec.Cmd
+		log  string
+		done chan struct{}
+		err  error
+	}
+
+	// backgrounds are the parts of one scenario, by label.
+	backgrounds map[string]*background
+
+	backgroundsKey struct{}
+)
+
+var (
+	portMu   sync.Mutex
+	portNext = portsFrom + rand.IntN(portsTo-portsFrom)
+)
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"ragworthitch": func() { os.Exit(run()) },
@@ -22,10 +61,15 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"sleep": sleep,
+			"sleep":  sleep,
+			"start":  start,
+			"signal": signalPart,
+			"ended":  ended,
+			"occupy": occupy,
 		},
 		Setup: func(env *testscript.Env) error {
-			for i := range 10 {
+			env.Values[backgroundsKey{}] = backgrounds{}
+			for i := range scriptPorts {
 				p, err := freePort()
 				if err != nil {
 					return err
@@ -37,13 +81,131 @@
 	})
 }
 
+// freePort returns a port that is free now and that this process gives out
+// only once.
 func freePort() (int, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range portsTo - portsFrom {
+		p := portNext
+		portNext++
+		if portNext >= portsTo {
+			portNext = portsFrom
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		return p, nil
+	}
+	return 0, fmt.Errorf("no free port from %d to %d", portsFrom, portsTo)
+}
+
+// start runs a part as its own process and waits until it says that it has
+// started; a part that ends before fails the script at once with its log:
+//
+//	start LABEL SUBCOMMAND ARGS...
+//
+// With ! in front the part has to end by itself instead. The log goes to
+// LABEL.log.
+func start(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: start LABEL SUBCOMMAND ARGS...")
+	}
+	label := args[0]
+	log := ts.MkAbs(label + ".log")
+	f, err := os.Create(log)
+	ts.Check(err)
+	bin, err := exec.LookPath("ragworthitch")
+	ts.Check(err)
+	cmd := exec.Command(bin, args[1:]...)
+	cmd.Dir, cmd.Stdout, cmd.Stderr = filepath.Dir(log), f, f
+	cmd.Env = os.Environ()
+	for i := range scriptPorts {
+		name := fmt.Sprintf("P%d", i)
+		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
+	}
+	ts.Check(cmd.Start())
+	f.Close()
+	b := &background{cmd: cmd, log: log, done: make(chan struct{})}
+	go func() {
+		b.err = cmd.Wait()
+		close(b.done)
+	}()
+	ts.Defer(func() {
+		b.cmd.Process.Kill()
+		<-b.done
+	})
+	parts(ts)[label] = b
+	if up := b.waitStarted(ts); up == neg {
+		ts.Fatalf("%s: started=%v (%v); its log:\n%s", label, up, b.err, ts.ReadFile(log))
+	}
+}
+
+// waitStarted reports whether the part has said that it started before it
+// ended.
+func (b *background) waitStarted(ts *testscript.TestScript) bool {
+	deadline := time.After(partStartTimeout)
+	for {
+		if strings.Contains(ts.ReadFile(b.log), ": started") {
+			return true
+		}
+		select {
+		case <-b.done:
+			return false
+		case <-deadline:
+			return false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// signalPart sends a signal to a part: signal INT LABEL.
+func signalPart(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{"INT": syscall.SIGINT, "TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP}
+	if neg || len(args) != 2 || signals[args[0]] == 0 {
+		ts.Fatalf("usage: signal INT|TERM|KILL|HUP LABEL")
+	}
+	ts.Check(findPart(ts, args[1]).cmd.Process.Signal(signals[args[0]]))
+}
+
+// ended waits for a part to end with status 0, or another with !.
+func ended(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: ended LABEL")
+	}
+	b := findPart(ts, args[0])
+	select {
+	case <-b.done:
+	case <-time.After(partEndTimeout):
+		ts.Fatalf("%s still runs after %v", args[0], partEndTimeout)
+	}
+	if (b.err != nil) != neg {
+		ts.Fatalf("%s ended: %v; its log:\n%s", args[0], b.err, ts.ReadFile(b.log))
+	}
+}
+
+// occupy holds a port until the script ends: occupy PORT.
+func occupy(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: occupy PORT")
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:"+args[0])
+	ts.Check(err)
+	ts.Defer(func() { ln.Close() })
+}
+
+func parts(ts *testscript.TestScript) backgrounds {
+	return ts.Value(backgroundsKey{}).(backgrounds)
+}
+
+func findPart(ts *testscript.TestScript, label string) *background {
+	b := parts(ts)[label]
+	if b == nil {
+		ts.Fatalf("no part %q was started", label)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port, nil
+	return b
 }
 
 // sleep waits for a duration, so a script can act while a background
--- a/cmd/ragworthitch/service.go
+++ b/cmd/ragworthitch/service.go
@@ -26,8 +26,7 @@
 		return fail(err)
 	}
 	s := &service.StandIn{Name: t.Name, Latency: 2 * time.Millisecond}
-	log.Info().Str("listen", t.Listen).Msg("service: started")
-	if err := serve(ctx, t.Listen, s.Handler()); err != nil {
+	if err := serve(ctx, log, "service", t.Listen, s.Handler()); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("service: stopped")
