--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,32 @@
+// Package clock reads the clock that all ages and timeouts of beliefs are
+// measured on: time since the machine's boot, suspension included. The time
+// of day may jump, and the monotonic clock stands still while a machine is
+// suspended, so a key taken away meanwhile would still look fresh on it.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Time is a point on the boot clock. The zero value lies before any reading.
+type Time time.Duration
+
+// Now reads the boot clock. It falls back to the monotonic clock where the
+// kernel has no boot clock.
+func Now() Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return Time(time.Since(start)) + 1
+	}
+	return Time(ts.Nano())
+}
+
+// Sub is the time from u to t.
+func (t Time) Sub(u Time) time.Duration { return time.Duration(t - u) }
+
+// Add is the point d after t.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+var start = time.Now()
--- a/cmd/ragworthitch/main.go
+++ b/cmd/ragworthitch/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(&serviceCmd{}, "parts")
 	subcommands.Register(&agentCmd{}, "parts")
 	subcommands.Register(&entryCmd{}, "parts")
+	subcommands.Register(&serveCmd{}, "parts")
 	subcommands.Register(&loadCmd{}, "tools")
 	subcommands.Register(&settingsCmd{}, "tools")
 	subcommands.Register(&timelineCmd{}, "tools")
--- /dev/null
+++ b/cmd/ragworthitch/serve.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"github.com/ragworthitch/ragworthitch/instance"
+	"github.com/ragworthitch/ragworthitch/logs"
+	"github.com/ragworthitch/ragworthitch/metrics"
+	"github.com/ragworthitch/ragworthitch/platform"
+)
+
+type serveCmd struct{ level string }
+
+func (*serveCmd) Name() string     { return "serve" }
+func (*serveCmd) Synopsis() string { return "run an entry instance on the platform" }
+func (*serveCmd) Usage() string {
+	return "serve [-log LEVEL]\n\tServe the platform's callers. The platform's settings file is named by $" + platform.BootEnv + ".\n"
+}
+func (c *serveCmd) SetFlags(f *flag.FlagSet) { f.StringVar(&c.level, "log", "info", "log level") }
+
+func (c *serveCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	boot, err := platform.LoadBoot()
+	if err != nil {
+		return fail(err)
+	}
+	w, flush := logs.Bounded(os.Stdout)
+	defer flush()
+	log := logs.New(w, boot.Node(), boot.Zone(), c.level)
+	reloadOnHangup(ctx, log)
+	scope, rep, closeScope := metrics.New(boot.Node())
+	defer closeScope()
+	if err := instance.New(boot, log, scope, rep.Text()).Run(ctx); err != nil {
+		log.Error().Err(err).Msg("instance: ended")
+		return subcommands.ExitFailure
+	}
+	log.Info().Msg("instance: stopped")
+	return subcommands.ExitSuccess
+}
+
+// reloadOnHangup reads the settings file again on SIGHUP. What it holds for
+// a running instance never changes; a file that cannot be read is reported
+// and the settings in use stay.
+func reloadOnHangup(ctx context.Context, log zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			}
+			if boot, err := platform.LoadBoot(); err != nil {
+				log.Error().Err(err).Msg("instance: settings not reloaded; those in use stay")
+			} else {
+				log.Info().Str("front", boot.Front()).Msg("instance: settings read again")
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/discovery/sinks.go
@@ -0,0 +1,122 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+// lapseHold is how long after the store's return a target still counts whose
+// entry lapsed meanwhile: living targets have written theirs again within
+// about two seconds.
+const lapseHold = 2200 * time.Millisecond
+
+type (
+	// Entry is a target's entry in the store, or the news that it is gone.
+	Entry struct {
+		ID     string
+		Target ragworthitch.Target
+		Gone   bool
+	}
+
+	// BookSink takes desired states over into a Book.
+	BookSink struct {
+		Book *desired.Book
+		Log  zerolog.Logger
+	}
+
+	// TargetSink takes entries over into a Registry. Make one with
+	// NewTargetSink.
+	TargetSink struct {
+		targets *registry.Registry
+		book    *desired.Book
+		log     zerolog.Logger
+		awayAt  clock.Time // the last moment at which the store was known to be away
+		read    func()
+	}
+)
+
+// Replace takes the newest state over.
+func (s BookSink) Replace(rows []*ragworthitch.DesiredState, at clock.Time) { s.Change(rows, at) }
+
+// Change takes newer states over.
+func (s BookSink) Change(rows []*ragworthitch.DesiredState, at clock.Time) {
+	for _, d := range rows {
+		if s.Book.Apply(d) {
+			s.Log.Info().Int64("version", d.Version()).Int("routes", len(d.Routes())).Int("orgs", len(d.Organisations())).
+				Dur("readTook", clock.Now().Sub(at)).Msg("desired: state in force")
+		}
+	}
+	s.Book.Proved(at)
+}
+
+// Away does nothing: the book's proof ages by itself.
+func (s BookSink) Away(clock.Time) {}
+
+// NewTargetSink returns a sink into targets; read is called after each whole
+// reading of the table.
+func NewTargetSink(targets *registry.Registry, book *desired.Book, log zerolog.Logger, read func()) *TargetSink {
+	return &TargetSink{targets: targets, book: book, log: log, read: read}
+}
+
+// Away notes that the store did not answer at a moment.
+func (s *TargetSink) Away(at clock.Time) { s.awayAt = at }
+
+// Replace makes the registry hold just the given entries.
+func (s *TargetSink) Replace(rows []Entry, at clock.Time) {
+	stands := make(map[string]bool, len(rows))
+	for _, e := range rows {
+		stands[e.ID] = true
+	}
+	for _, id := range s.targets.IDs() {
+		if !stands[id] {
+			s.vanish(id)
+		}
+	}
+	s.Change(rows, at)
+	s.read()
+}
+
+// Change takes changed entries over.
+func (s *TargetSink) Change(rows []Entry, at clock.Time) {
+	for _, e := range rows {
+		if e.Gone {
+			s.vanish(e.ID)
+			continue
+		}
+		s.put(e.Target)
+	}
+	s.targets.Expire(clock.Now())
+}
+
+func (s *TargetSink) put(t ragworthitch.Target) {
+	maxConns := 0
+	if d := s.book.State(); d != nil {
+		if svc, ok := d.Service(t.Service()); ok {
+			maxConns = svc.MaxConns()
+		}
+	}
+	old := s.targets.ByID(t.ID())
+	s.targets.Put(t, maxConns)
+	if old == nil || old.Target().Draining() != t.Draining() {
+		s.log.Info().Str("target", t.ID()).Str("service", t.Service()).Str("address", t.Address()).Str("zone", t.Zone()).
+			Bool("draining", t.Draining()).Msg("discovery: target known")
+	}
+}
+
+// vanish removes a target, at once or, if its entry may have lapsed only
+// because the store was away, a little later.
+func (s *TargetSink) vanish(id string) {
+	now := clock.Now()
+	until := now
+	if s.awayAt != 0 {
+		until = max(now, s.awayAt.Add(lapseHold))
+	}
+	s.log.Info().Str("target", id).Dur("heldFor", until.Sub(now)).Msg("discovery: target's entry gone")
+	s.targets.Vanish(id, now, until)
+}
--- /dev/null
+++ b/ingress/events.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+const (
+	// maxEvent bounds one event of a stream; events hold a few tokens.
+	maxEvent = 256 << 10
+	// eventBuffer is the usual size of a read buffer: some events of 60 to
+	// 400 bytes.
+	eventBuffer = 4 << 10
+)
+
+var (
+	errEventGap = errors.New("ingress: the stream goes on after a gap")
+	eventEnd    = []byte("\n\n")
+	idField     = []byte("id:")
+)
+
+// event is one whole event of a stream, bytes as the target sent them.
+type event struct {
+	raw []byte
+	id  int64 // 0 if it has none
+}
+
+// readEvents hands every whole event of a text/event-stream to emit, which
+// may keep it. An event that is cut off is not handed on. It returns nil
+// when the stream ended where its target ended it.
+func readEvents(r io.Reader, emit func(event) bool) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(make([]byte, 0, eventBuffer), maxEvent)
+	sc.Split(splitEvents)
+	for sc.Scan() {
+		raw := bytes.Clone(sc.Bytes())
+		if !emit(event{raw: raw, id: eventID(raw)}) {
+			return nil
+		}
+	}
+	return sc.Err()
+}
+
+// splitEvents is a bufio.SplitFunc: an event ends with an empty line.
+func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
+	if i := bytes.Index(data, eventEnd); i >= 0 {
+		n := i + len(eventEnd)
+		return n, data[:n], nil
+	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
+}
+
+// eventID is the number in the event's id line, or 0.
+func eventID(raw []byte) int64 {
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		v, ok := bytes.CutPrefix(line, idField)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err == nil {
+			return n
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/ingress/handler.go
@@ -0,0 +1,152 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/budget"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+// Retry-After of refusals, by cause. Each is spread by up to half of itself,
+// so that refused callers do not come back together.
+const (
+	// unknownRetry is sent while the state in force is not known: a read of
+	// the store takes some 10 ms once it answers.
+	unknownRetry = 300 * time.Millisecond
+	// noTargetRetry is sent when no target can take the call: a target that
+	// failed is tried again after 500 ms.
+	noTargetRetry = 400 * time.Millisecond
+	// leavingRetry is sent by an instance that is about to end; others are
+	// there already.
+	leavingRetry = 20 * time.Millisecond
+)
+
+// streamsWhileLeaving is how long a leaving instance still takes new
+// streams. A stream takes 4 to 6 s and has to end within the 8 s that a
+// process is given to end.
+const streamsWhileLeaving = 1500 * time.Millisecond
+
+type (
+	// Handler serves calls. Make one with New.
+	Handler struct {
+		zone    string
+		book    *desired.Book
+		targets *registry.Registry
+		budget  *budget.Budget
+		send    Sender
+		log     zerolog.Logger
+		stats   stats
+
+		leaving atomic.Int64 // clock.Time at which the instance began to leave
+		active  atomic.Int64
+	}
+
+	// Config is what a Handler works with.
+	Config struct {
+		Zone    string
+		Book    *desired.Book
+		Targets *registry.Registry
+		Budget  *budget.Budget
+		Sender  Sender
+		Log     zerolog.Logger
+		Scope   tally.Scope
+	}
+)
+
+// New returns a handler.
+func New(cfg Config) *Handler {
+	return &Handler{zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, budget: cfg.Budget,
+		send: cfg.Sender, log: cfg.Log, stats: newStats(cfg.Scope)}
+}
+
+// Leave makes the handler ask callers to use other instances and, after a
+// while, refuse new streams.
+func (h *Handler) Leave() { h.leaving.CompareAndSwap(0, int64(clock.Now())) }
+
+// Leaving reports whether Leave was called.
+func (h *Handler) Leaving() bool { return h.leaving.Load() != 0 }
+
+// Active is the number of calls in progress.
+func (h *Handler) Active() int { return int(h.active.Load()) }
+
+// Serve answers one call. ctx ends when the caller is gone.
+func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	now := clock.Now()
+	g, err := h.book.Judge(now, c.Host, c.Path, c.Key, rand.Float64())
+	if err != nil {
+		h.deny(w, c, g, err)
+		return
+	}
+	limit := g.Route.Timeout()
+	if c.Patience > 0 {
+		limit = min(limit, c.Patience)
+	}
+	limit -= now.Sub(c.Received)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	h.budget.Called(g.Service.Name(), now)
+	j := &job{h: h, w: w, c: c, g: g, deadline: now.Add(limit)}
+	if g.Route.Kind() != ragworthitch.CallStream {
+		j.plain(ctx)
+		return
+	}
+	if at := h.leaving.Load(); at != 0 && now.Sub(clock.Time(at)) > streamsWhileLeaving {
+		j.refuse("leaving", leavingRetry)
+		return
+	}
+	newStream(j).run(ctx)
+}
+
+// deny answers a call that the state in force does not allow, or that cannot
+// be judged now.
+func (h *Handler) deny(w http.ResponseWriter, c *Call, g desired.Grant, err error) {
+	status, retry := http.StatusServiceUnavailable, unknownRetry
+	switch {
+	case errors.Is(err, desired.ErrNoRoute):
+		status, retry = http.StatusNotFound, 0
+	case errors.Is(err, desired.ErrNoKey):
+		status, retry = http.StatusUnauthorized, 0
+	}
+	h.stats.denied.Inc(1)
+	h.log.Info().Str("request", c.ID).Str("host", c.Host).Str("path", c.Path).Int64("version", g.Version).
+		Dur("proofAge", g.Age).Int("status", status).AnErr("cause", err).Msg("ingress: denied")
+	answer(w, status, retry)
+}
+
+// answer writes an answer of our own; retry 0 sends no Retry-After.
+func answer(w http.ResponseWriter, status int, retry time.Duration) {
+	if retry > 0 {
+		spread := float64(retry) * (0.75 + 0.5*rand.Float64())
+		w.Header().Set("Retry-After", strconv.FormatFloat(spread/float64(time.Second), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// passOn copies a reply's head to the caller.
+func passOn(w http.ResponseWriter, r *Reply) {
+	dst := w.Header()
+	for k, v := range r.Header {
+		dst[k] = v
+	}
+	if _, ok := r.Header["Content-Type"]; !ok {
+		dst["Content-Type"] = nil // keeps net/http from guessing one
+	}
+}
--- /dev/null
+++ b/ingress/job.go
@@ -0,0 +1,152 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/route"
+)
+
+// job is one call in progress.
+type job struct {
+	h        *Handler
+	w        http.ResponseWriter
+	c        *Call
+	g        desired.Grant
+	deadline clock.Time
+	sends    int  // orders that reached a target, or may have
+	mayRun   bool // one of them may have run
+	tried    []*registry.Member
+}
+
+// left is how long an answer is still of use.
+func (j *job) left(now clock.Time) time.Duration { return j.deadline.Sub(now) }
+
+// service is the name of the call's service.
+func (j *job) service() string { return j.g.Service.Name() }
+
+// hasTried reports whether the call was sent to m before.
+func (j *job) hasTried(m *registry.Member) bool {
+	for _, t := range j.tried {
+		if t == m {
+			return true
+		}
+	}
+	return false
+}
+
+// again reports whether the call may be sent once more: targets are left and
+// the repeat budget has room.
+func (j *job) again(now clock.Time) bool {
+	if j.sends == 0 {
+		return true
+	}
+	if j.sends >= j.g.Route.MaxTargets() {
+		return false
+	}
+	if !j.h.budget.Spend(j.service(), now) {
+		j.h.stats.overBudget.Inc(1)
+		j.h.log.Info().Str("request", j.c.ID).Str("service", j.service()).Int("sends", j.sends).Msg("ingress: no repeat left in the budget")
+		return false
+	}
+	return true
+}
+
+// pickPlain chooses a target of a plain service, or nil.
+func (j *job) pickPlain(now clock.Time) *registry.Member {
+	ms := j.h.targets.Service(j.service())
+	cands := make([]route.PlainCandidate, len(ms))
+	for i, m := range ms {
+		t := m.Target()
+		_, running, _ := m.Work().Load()
+		cands[i] = route.PlainCandidate{Takes: m.Takes(now) && !j.hasTried(m), LatencyMs: m.Health().Latency(),
+			Errors: m.Health().Errors(now), Running: running, Slots: t.Slots(),
+			SameZone: t.Zone() == j.h.zone, Jitter: rand.Float64()}
+	}
+	if i := route.Pick(cands, route.Plain{}, 0); i >= 0 {
+		return ms[i]
+	}
+	return nil
+}
+
+// pickEngine chooses a model engine, or nil. notZone, if set, bars a zone.
+func (j *job) pickEngine(now clock.Time, notZone string, bar ...*registry.Member) *registry.Member {
+	ms := j.h.targets.Service(j.service())
+	cands := make([]route.EngineCandidate, len(ms))
+	for i, m := range ms {
+		t := m.Target()
+		prefill, running, copies := m.Work().Load()
+		barred := t.Zone() == notZone
+		for _, b := range bar {
+			barred = barred || b == m
+		}
+		cands[i] = route.EngineCandidate{Takes: m.Takes(now), Prefill: prefill, Running: running, Copies: copies,
+			Errors: m.Health().Errors(now), SameZone: t.Zone() == j.h.zone, Barred: barred, Jitter: rand.Float64()}
+	}
+	if i := route.Pick(cands, route.Engines{}, 0); i >= 0 {
+		return ms[i]
+	}
+	return nil
+}
+
+// failed notes that a target does not serve.
+func (j *job) failed(m *registry.Member, cause health.Cause, err error) {
+	out := m.Health().Failed(clock.Now())
+	m.Conns().DropIdle()
+	j.h.stats.targetsOut.Inc(1)
+	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Str("cause", string(cause)).
+		AnErr("error", err).Dur("outFor", out).Msg("health: target left alone")
+}
+
+// suspect asks a target whose answer broke off for a connection. A single
+// reset connection says little; a refused one means that the target is gone,
+// and all other calls on it move at once.
+func (j *job) suspect(m *registry.Member) {
+	m.Conns().DropIdle()
+	go func() {
+		if err := m.Conns().Probe(context.Background()); err != nil {
+			j.failed(m, health.CauseRefused, err)
+		}
+	}()
+}
+
+// elsewhere notes that a target's address answered for another target.
+func (j *job) elsewhere(m *registry.Member) {
+	j.h.targets.Refused(m.Target().ID())
+	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("address", m.Target().Address()).
+		Msg("health: address answers for another target; entry dropped")
+}
+
+// refuse tells the caller that the call was not run and when to come back.
+func (j *job) refuse(cause string, retry time.Duration) {
+	j.h.stats.refused.Inc(1)
+	j.log(http.StatusServiceUnavailable, cause, nil)
+	answer(j.w, http.StatusServiceUnavailable, retry)
+}
+
+// fail gives the call up: a refusal if it certainly did not run, otherwise
+// an answer that promises nothing.
+func (j *job) fail(status int, cause string, err error) {
+	if !j.mayRun {
+		j.refuse(cause, noTargetRetry)
+		return
+	}
+	j.h.stats.failed.Inc(1)
+	j.log(status, cause, err)
+	answer(j.w, status, 0)
+}
+
+// log writes the line of a call that is not answered by a target's success.
+func (j *job) log(status int, cause string, err error) {
+	now := clock.Now()
+	j.h.log.Warn().Str("request", j.c.ID).Str("route", j.g.Route.Name()).Str("kind", j.g.Route.Kind().String()).
+		Str("service", j.service()).Str("org", j.g.Org).Int64("version", j.g.Version).Dur("proofAge", j.g.Age).
+		Int("sends", j.sends).Bool("mayHaveRun", j.mayRun).Dur("after", now.Sub(j.c.Received)).Int("status", status).
+		Str("cause", cause).AnErr("error", err).Msg("ingress: call failed")
+}
--- /dev/null
+++ b/ingress/plain.go
@@ -0,0 +1,201 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
+)
+
+const (
+	// maxDials bounds the targets that are dialled for one call; each failed
+	// attempt takes up to upstream.DialTimeout.
+	maxDials = 4
+	// hedgeShare is the part of the expected response time after which a
+	// safe call that has had no answer is sent to a second target as well:
+	// late enough that few healthy answers are still under way, early
+	// enough that the second answer can be in time.
+	hedgeShare = 0.6
+	// minHedge keeps hedging off where the expected time is tiny.
+	minHedge = 40 * time.Millisecond
+	// maxAnswer bounds a buffered answer; plain services answer in a few kB.
+	maxAnswer = 8 << 20
+	// hungShare is the part of the time an answer is of use after which a
+	// target that has sent nothing counts as failing.
+	hungAfter = 400 * time.Millisecond
+)
+
+// errTooLarge means that a plain service's answer is over maxAnswer.
+var errTooLarge = errors.New("ingress: answer too large")
+
+// try is the outcome of one order of a plain call.
+type try struct {
+	m     *registry.Member
+	reply *Reply
+	body  []byte
+	err   error
+}
+
+// plain serves a call of a plain service. The answer is read whole before
+// any of it is passed on, so that one that ends early is never passed on.
+func (j *job) plain(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the orders that lost the race
+	safe := j.g.Route.Kind() == ragworthitch.CallSafe
+	tries := make(chan try, maxDials+j.g.Route.MaxTargets())
+	pending, dials := 0, 0
+	launch := func() bool {
+		now := clock.Now()
+		if dials >= maxDials {
+			return false
+		}
+		m := j.pickPlain(now)
+		if m == nil || !j.again(now) {
+			return false
+		}
+		dials++
+		pending++
+		j.sends++
+		j.tried = append(j.tried, m)
+		go func() { tries <- j.order(ctx, m) }()
+		return true
+	}
+	launch()
+	hedge := time.NewTimer(max(minHedge, time.Duration(hedgeShare*float64(j.g.Route.Target()))))
+	defer hedge.Stop()
+	var last *try // a failure of a target's own, to be passed on if nothing better comes
+	var cause error
+	for pending > 0 {
+		select {
+		case t := <-tries:
+			pending--
+			if j.settled(t) {
+				return
+			}
+			switch {
+			case t.err != nil:
+				cause = t.err
+			case !t.reply.refused():
+				last = &t
+			}
+			if j.mayRun && !safe {
+				break // it may run once only
+			}
+			launch()
+		case <-hedge.C:
+			if safe && pending > 0 && launch() {
+				j.h.stats.hedged.Inc(1)
+			}
+		case <-ctx.Done():
+			j.giveUp(ctx)
+			return
+		}
+	}
+	if last != nil {
+		j.log(last.reply.Status, "target failed the call", nil)
+		j.write(last)
+		return
+	}
+	j.fail(http.StatusBadGateway, "no target answered", cause)
+}
+
+// settled notes what a try says of its target, and passes its answer on if
+// it is one.
+func (j *job) settled(t try) bool {
+	switch {
+	case t.err != nil && errors.Is(t.err, upstream.ErrNotSent):
+		j.sends--
+		return false
+	case t.err != nil:
+		j.mayRun = true
+		return false
+	case t.reply.refused():
+		return false
+	}
+	j.mayRun = true
+	if t.reply.failure() {
+		return false
+	}
+	j.h.stats.answered.Inc(1)
+	j.h.stats.plainTime.Record(clock.Now().Sub(j.c.Received))
+	j.write(&t)
+	return true
+}
+
+// order sends the call to m and reads the whole answer.
+func (j *job) order(ctx context.Context, m *registry.Member) try {
+	begun := clock.Now()
+	_, end := m.Work().Begin(0)
+	defer end()
+	t := try{m: m}
+	o := &Order{Call: j.c, Target: m.Target(), Member: m, Org: j.g.Org, Left: j.left(begun)}
+	t.reply, t.err = j.h.send.Send(ctx, o)
+	if t.err == nil {
+		t.body, t.err = readWhole(t.reply.Body)
+	}
+	j.observe(ctx, t, begun)
+	return t
+}
+
+// observe notes what a try says of its target's health.
+func (j *job) observe(ctx context.Context, t try, begun clock.Time) {
+	now := clock.Now()
+	took := now.Sub(begun)
+	switch {
+	case t.err != nil && ctx.Err() != nil:
+		if took > hungAfter {
+			t.m.Health().Answered(now, took, true)
+		}
+	case errors.Is(t.err, upstream.ErrNotSent):
+		j.failed(t.m, health.CauseRefused, t.err)
+	case t.err != nil:
+		t.m.Health().Answered(now, took, true)
+		j.h.log.Warn().Str("request", j.c.ID).Str("target", t.m.Target().ID()).Dur("after", took).Err(t.err).Msg("ingress: no whole answer")
+	case t.reply.Elsewhere:
+		j.elsewhere(t.m)
+	default:
+		t.m.Health().Answered(now, took, t.reply.failure())
+	}
+}
+
+// giveUp answers a call whose time is over. If its caller is gone nobody
+// reads the answer.
+func (j *job) giveUp(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		j.h.stats.abandoned.Inc(1)
+		j.log(0, "caller left", nil)
+		return
+	}
+	j.mayRun = j.mayRun || j.sends > 0
+	j.fail(http.StatusGatewayTimeout, "out of time", ctx.Err())
+}
+
+// write passes a whole answer on.
+func (j *job) write(t *try) {
+	passOn(j.w, t.reply)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(t.body)))
+	j.w.WriteHeader(t.reply.Status)
+	if _, err := j.w.Write(t.body); err != nil {
+		j.h.log.Info().Str("request", j.c.ID).Err(err).Msg("ingress: caller left before its answer")
+	}
+}
+
+func readWhole(r io.ReadCloser) ([]byte, error) {
+	defer r.Close()
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err != nil {
+		return nil, errors.Join(upstream.ErrSent, err)
+	}
+	if len(b) > maxAnswer {
+		return nil, errors.Join(upstream.ErrSent, errTooLarge)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/ingress/stream.go
@@ -0,0 +1,389 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
+)
+
+const (
+	// probeAfter is the silence within a stream after which its target is
+	// asked for a connection: events come every 35 to 50 ms, and every 300
+	// ms while the engine reads a prompt beside it.
+	probeAfter = 300 * time.Millisecond
+	// moveAfter is the silence after which a stream moves though its target
+	// still takes connections. Callers expect pauses under 700 ms; going on
+	// from a copy takes some 50 ms.
+	moveAfter = 550 * time.Millisecond
+	// firstProbe is the same as probeAfter before the first event, which
+	// takes a second and more to come.
+	firstProbe = 600 * time.Millisecond
+	// firstMove is how long a target that still takes connections may take
+	// to the first event: a mean prompt is read in a second, and several may
+	// wait before it. Moving throws away what was read.
+	firstMove = 6 * time.Second
+
+	pendingEvents = 64 // events read ahead of a slow caller
+)
+
+var (
+	errLost   = errors.New("ingress: target lost")
+	errSilent = errors.New("ingress: target silent")
+)
+
+type (
+	// stream is a streamed call in progress, over all its runs.
+	stream struct {
+		*job
+		last     int64            // id of the last event passed on
+		begun    bool             // the caller has the head of the answer
+		copyAt   *registry.Member // where the run's memory is copied to
+		copied   bool             // the run has made events, so there is a copy to go on from
+		dropCopy func()
+		cutAt    clock.Time // when the run before ended; 0: there was none
+		fails    int
+	}
+
+	// news is what a run's reader reports: a head, an event or an end.
+	news struct {
+		reply *Reply
+		ev    event
+		err   error
+		end   bool
+	}
+)
+
+func newStream(j *job) *stream {
+	s := &stream{job: j, dropCopy: func() {}}
+	if n, err := strconv.ParseInt(j.c.After, 10, 64); err == nil {
+		s.last = n
+	}
+	return s
+}
+
+// run sends the call to one target after the other until one of them has
+// ended the stream.
+func (s *stream) run(ctx context.Context) {
+	defer func() { s.dropCopy() }()
+	for {
+		m, from := s.next()
+		if m == nil {
+			s.end(ctx, http.StatusServiceUnavailable, "no target", nil)
+			return
+		}
+		err := s.attempt(ctx, m, from)
+		if err == nil {
+			s.h.stats.answered.Inc(1)
+			return
+		}
+		if ctx.Err() != nil {
+			s.outOfTime(ctx)
+			return
+		}
+		s.lost(m, from, err)
+		if s.mayRun && !s.g.Route.Idempotent() || !s.again(clock.Now()) || s.fails >= maxDials+s.g.Route.MaxTargets() {
+			s.end(ctx, http.StatusBadGateway, "no target left to go on", err)
+			return
+		}
+	}
+}
+
+// next chooses the target of the next run, and the copy it goes on from.
+func (s *stream) next() (m, from *registry.Member) {
+	now := clock.Now()
+	if s.copyAt != nil && s.copied && s.copyAt.Takes(now) {
+		return s.copyAt, s.copyAt
+	}
+	if m := s.pickEngine(now, "", s.tried...); m != nil {
+		return m, nil
+	}
+	// All others failed: one that was tried before may be back.
+	return s.pickEngine(now, ""), nil
+}
+
+// lost notes how a run ended.
+func (s *stream) lost(m, from *registry.Member, err error) {
+	now := clock.Now()
+	if s.cutAt == 0 || s.begun {
+		s.cutAt = now
+	}
+	s.fails++
+	s.tried = append(s.tried, m)
+	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Bool("fromCopy", from != nil).
+		Int64("lastEvent", s.last).Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
+}
+
+// end gives the stream up. A stream that has begun is cut, so that it does
+// not look complete.
+func (s *stream) end(ctx context.Context, status int, cause string, err error) {
+	if !s.begun {
+		s.fail(status, cause, err)
+		return
+	}
+	s.h.stats.streamsCut.Inc(1)
+	s.log(0, "stream cut: "+cause, err)
+	panic(http.ErrAbortHandler)
+}
+
+func (s *stream) outOfTime(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		s.h.stats.abandoned.Inc(1)
+		s.log(0, "caller left", nil)
+		return
+	}
+	s.end(ctx, http.StatusGatewayTimeout, "out of time", ctx.Err())
+}
+
+// attempt makes one run and passes its events on. It returns nil when the
+// stream, or an answer in its place, is complete at the caller.
+func (s *stream) attempt(ctx context.Context, m, from *registry.Member) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // closes the run's connection: the target stops its work
+	now := clock.Now()
+	o := &Order{Call: s.c, Target: m.Target(), Member: m, Org: s.g.Org, Left: s.left(now), Urgent: s.begun}
+	if s.last > 0 {
+		o.After = strconv.FormatInt(s.last, 10)
+	}
+	prompt := s.c.Prompt
+	if from != nil {
+		o.CopyAt, prompt = from.Target().Address(), 0
+	}
+	s.placeCopy(m, o)
+	started, done := m.Work().Begin(prompt)
+	defer done()
+	s.sends++
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, started: started, news: make(chan news, pendingEvents), probed: make(chan error, 1)}
+	go r.read(ctx, o)
+	return r.watch(ctx)
+}
+
+// placeCopy chooses where the run's memory is copied to: an engine in
+// another zone, since engines of one zone fail together.
+func (s *stream) placeCopy(m *registry.Member, o *Order) {
+	s.dropCopy()
+	s.copyAt, s.copied, s.dropCopy = nil, false, func() {}
+	if e := s.g.Service.Engine(); e == nil || !e.Backups || !s.g.Route.Resumable() {
+		return
+	}
+	c := s.pickEngine(clock.Now(), m.Target().Zone(), append(s.tried, m)...)
+	if c == nil {
+		return
+	}
+	s.copyAt, s.dropCopy = c, c.Work().KeepCopy()
+	o.BackupAt = c.Target().Address()
+}
+
+// run is one sending of a stream to one target.
+type run struct {
+	s       *stream
+	m, from *registry.Member
+	begun   clock.Time
+	heard   clock.Time // last sign of life of this run
+	started func()
+	news    chan news
+	probed  chan error
+	probing bool
+	events  int
+}
+
+// read sends the order and reports what comes back.
+func (r *run) read(ctx context.Context, o *Order) {
+	tell := func(n news) bool {
+		select {
+		case r.news <- n:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	reply, err := r.s.h.send.Send(ctx, o)
+	if err != nil {
+		tell(news{err: err, end: true})
+		return
+	}
+	defer reply.Body.Close()
+	if reply.Status != http.StatusOK {
+		body, err := readWhole(reply.Body)
+		tell(news{reply: reply, ev: event{raw: body}, err: err, end: true})
+		return
+	}
+	if !tell(news{reply: reply}) {
+		return
+	}
+	err = readEvents(reply.Body, func(e event) bool { return tell(news{ev: e}) })
+	tell(news{err: err, end: true})
+}
+
+// watch passes events on until the run ends, or its target falls silent.
+func (r *run) watch(ctx context.Context) error {
+	lost := r.m.Health().Lost()
+	timer := time.NewTimer(probeAfter)
+	defer timer.Stop()
+	var head *Reply
+	for {
+		select {
+		case n := <-r.news:
+			now := clock.Now()
+			r.heard = now
+			if n.reply != nil {
+				head = n.reply
+			}
+			if n.end {
+				return r.ended(ctx, head, n)
+			}
+			if n.ev.raw != nil {
+				if err := r.pass(head, n.ev); err != nil {
+					return err
+				}
+			}
+		case err := <-r.probed:
+			r.probing = false
+			if err != nil && ctx.Err() == nil {
+				r.s.failed(r.m, health.CauseSilent, err)
+				return errLost
+			}
+		case <-lost:
+			return errLost
+		case <-timer.C:
+			quiet := clock.Now().Sub(r.heard)
+			if r.check(ctx, quiet) {
+				return errSilent
+			}
+			timer.Reset(r.nextCheck(quiet))
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// check looks at a run that has been quiet for so long, and reports whether
+// it has to move.
+func (r *run) check(ctx context.Context, quiet time.Duration) bool {
+	probe, move := probeAfter, moveAfter
+	if r.events == 0 && r.from == nil {
+		probe, move = firstProbe, firstMove
+	}
+	if quiet >= move {
+		r.m.Health().Answered(clock.Now(), quiet, true)
+		return true
+	}
+	if quiet >= probe && !r.probing {
+		r.probing = true
+		go func() { r.probed <- r.m.Conns().Probe(ctx) }()
+	}
+	return false
+}
+
+// nextCheck is when a quiet run is to be looked at again.
+func (r *run) nextCheck(quiet time.Duration) time.Duration {
+	if quiet < probeAfter {
+		return probeAfter - quiet
+	}
+	return 50 * time.Millisecond
+}
+
+// pass hands one event to the caller.
+func (r *run) pass(head *Reply, e event) error {
+	s := r.s
+	if r.events == 0 {
+		r.started()
+	}
+	r.events++
+	s.copied = true
+	if e.id != 0 {
+		if e.id <= s.last {
+			return nil // the caller has it
+		}
+		if s.last != 0 && e.id != s.last+1 {
+			return errEventGap
+		}
+	}
+	if !s.begun {
+		passOn(s.w, head)
+		s.w.WriteHeader(head.Status)
+		s.begun = true
+		s.h.stats.firstEvent.Record(clock.Now().Sub(s.c.Received))
+	}
+	if _, err := s.w.Write(e.raw); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return err
+	}
+	if e.id != 0 {
+		s.last = e.id
+	}
+	if s.cutAt != 0 {
+		s.resumed(r)
+	}
+	return nil
+}
+
+// resumed notes that the stream goes on.
+func (s *stream) resumed(r *run) {
+	gap := clock.Now().Sub(s.cutAt)
+	s.cutAt = 0
+	s.h.stats.resumed.Inc(1)
+	if r.from != nil {
+		s.h.stats.resumedByCopy.Inc(1)
+	}
+	s.h.stats.resumeTime.Record(gap)
+	s.h.log.Info().Str("request", s.c.ID).Str("target", r.m.Target().ID()).Bool("fromCopy", r.from != nil).
+		Int64("event", s.last).Dur("gap", gap).Msg("resume: stream goes on")
+}
+
+// ended settles a run that has ended by itself.
+func (r *run) ended(ctx context.Context, head *Reply, n news) error {
+	s, now := r.s, clock.Now()
+	switch {
+	case n.err != nil && errors.Is(n.err, upstream.ErrNotSent):
+		s.sends--
+		if ctx.Err() == nil {
+			s.failed(r.m, health.CauseRefused, n.err)
+		}
+		return n.err
+	case n.err != nil:
+		s.mayRun = true
+		if ctx.Err() == nil {
+			s.suspect(r.m)
+		}
+		return n.err
+	case head.Elsewhere:
+		s.elsewhere(r.m)
+		return upstream.ErrNotSent
+	case head.NotRun:
+		r.m.Health().Answered(now, 0, true)
+		return upstream.ErrNotSent
+	case head.Status != http.StatusOK:
+		return r.answeredOtherwise(head, n.ev.raw)
+	}
+	s.mayRun = true
+	if !head.Sized && s.last == 0 {
+		return upstream.ErrSent
+	}
+	return nil
+}
+
+// answeredOtherwise settles an answer that is no stream: a failure may be
+// better elsewhere, the rest is passed on.
+func (r *run) answeredOtherwise(head *Reply, body []byte) error {
+	s := r.s
+	s.mayRun = true
+	r.m.Health().Answered(clock.Now(), 0, head.failure())
+	if s.begun {
+		return upstream.ErrSent
+	}
+	if head.failure() && s.g.Route.Idempotent() && s.sends < s.g.Route.MaxTargets() {
+		return upstream.ErrSent
+	}
+	s.log(head.Status, "target answered without a stream", nil)
+	s.write(&try{m: r.m, reply: head, body: body})
+	return nil
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,206 @@
+// Package instance assembles an entry instance on the platform: it follows
+// the store, serves callers and the balancer's question, and ends in order
+// when it is told to.
+package instance
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/budget"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/discovery"
+	"github.com/ragworthitch/ragworthitch/ingress"
+	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+const (
+	// denyShare and keyShare of the operator's bounds are left to the age
+	// of a proof; the rest is for the way of the answer and slow machines.
+	denyShare = 0.6
+	keyShare  = 0.8
+
+	// desiredWait is how long a call waits for a new desired state. The
+	// proof is as old as the call, so keys are judged on proofs of twice
+	// this age at most.
+	desiredWait = 500 * time.Millisecond
+	// targetWait and targetGap pace the calls for targets' entries: every
+	// target writes every 1.2 s, so changes are taken in batches.
+	targetWait = 800 * time.Millisecond
+	targetGap  = 400 * time.Millisecond
+	// reread is how often a table is read whole, against changes lost
+	// without notice.
+	reread = 10 * time.Second
+
+	// heapShare of the memory limit is what the collector lets the heap
+	// grow to before it works harder.
+	heapShare = 0.7
+
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second // above any idle time an operator sets
+
+	// leaveSettle is how long a leaving instance goes on for callers whose
+	// balancer has not noticed yet: it asks every second and needs two
+	// misses.
+	leaveSettle = 2500 * time.Millisecond
+	// leaveMargin is left of the grace period when the last streams are cut.
+	leaveMargin  = 700 * time.Millisecond
+	defaultGrace = 8 * time.Second
+	leavePoll    = 50 * time.Millisecond
+)
+
+// Instance is an entry instance. Make one with New.
+type Instance struct {
+	boot    platform.Boot
+	log     zerolog.Logger
+	store   *platform.Store
+	book    *desired.Book
+	targets registry.Registry
+	handler *ingress.Handler
+	metrics http.Handler
+	read    atomic.Bool // the targets' table has been read
+}
+
+// New returns an instance with the platform's settings. metrics is served on
+// the metrics address.
+func New(boot platform.Boot, log zerolog.Logger, scope tally.Scope, metrics http.Handler) *Instance {
+	if boot.Memory() > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(boot.Memory())))
+	}
+	b := boot.Bounds()
+	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics,
+		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
+	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets,
+		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
+		Sender: platform.Sender{}, Log: log, Scope: scope})
+	return i
+}
+
+func share(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
+
+// Ready reports whether the balancer should send callers here.
+func (i *Instance) Ready() bool {
+	return i.read.Load() && !i.handler.Leaving() && i.book.KeysFresh(clock.Now())
+}
+
+// Run serves until ctx ends, and then until the calls in progress have ended
+// or the grace period is nearly over.
+func (i *Instance) Run(ctx context.Context) error {
+	front, err := net.Listen("tcp", i.boot.Front())
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", i.boot.Ready())
+	if err != nil {
+		front.Close()
+		return err
+	}
+	life, stop := context.WithCancel(context.Background())
+	defer stop()
+	p := pool.New().WithContext(life).WithCancelOnError()
+	i.follow(p)
+	i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
+	i.serve(p, ready, platform.Ready(i.Ready))
+	i.serveMetrics(p)
+	p.Go(func(life context.Context) error {
+		select {
+		case <-life.Done():
+		case <-ctx.Done():
+			i.leave(life)
+			stop()
+		}
+		return nil
+	})
+	i.log.Info().Str("front", i.boot.Front()).Str("ready", i.boot.Ready()).Str("store", i.boot.Store()).
+		Str("metrics", i.boot.Metrics()).Msg("instance: started")
+	if err := p.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// follow keeps the desired state and the targets up to date.
+func (i *Instance) follow(p *pool.ContextPool) {
+	states := &discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
+		Source: platform.DesiredTable{Store: i.store, Log: i.log}, Sink: discovery.BookSink{Book: i.book, Log: i.log},
+		Wait: desiredWait, Reread: reread}
+	entries := &discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
+		Source: platform.TargetTable{Store: i.store, Log: i.log},
+		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
+		Wait:   targetWait, Gap: targetGap, Reread: reread}
+	p.Go(states.Run)
+	p.Go(entries.Run)
+}
+
+func (i *Instance) limits() ragworthitch.Limits {
+	if d := i.book.State(); d != nil {
+		return d.Limits()
+	}
+	return ragworthitch.Limits{}
+}
+
+// serve runs an HTTP server on ln until the group stops.
+func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	p.Go(func(context.Context) error {
+		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	p.Go(func(ctx context.Context) error {
+		<-ctx.Done()
+		return srv.Close()
+	})
+}
+
+func (i *Instance) serveMetrics(p *pool.ContextPool) {
+	if i.boot.Metrics() == "" || i.metrics == nil {
+		return
+	}
+	ln, err := net.Listen("tcp", i.boot.Metrics())
+	if err != nil {
+		i.log.Warn().Err(err).Msg("instance: metrics are not served")
+		return
+	}
+	i.serve(p, ln, i.metrics)
+}
+
+// leave lets the calls in progress end: new callers are turned to other
+// instances, and streams that last longer than the grace period are cut in
+// time for their callers to go on elsewhere.
+func (i *Instance) leave(life context.Context) {
+	begun := clock.Now()
+	grace := i.boot.Bounds().Grace
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	i.handler.Leave()
+	i.log.Info().Int("active", i.handler.Active()).Dur("grace", grace).Msg("instance: leaving")
+	t := time.NewTicker(leavePoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-life.Done():
+			return
+		case <-t.C:
+		}
+		gone := clock.Now().Sub(begun)
+		if gone > leaveSettle && i.handler.Active() == 0 || gone > grace-leaveMargin {
+			i.log.Info().Int("active", i.handler.Active()).Dur("after", gone).Msg("instance: left")
+			return
+		}
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -23,6 +23,8 @@
 		counters map[string]int64
 		gauges   map[string]float64
 		timers   map[string]*timer
+
+		histograms map[bucket]int64
 	}
 
 	timer struct {
@@ -77,10 +79,6 @@
 func (r *Reporter) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
 }
 
-// ReportHistogramDurationSamples is not kept.
-func (r *Reporter) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
-}
-
 // Capabilities says the reporter reports, without tags.
 func (r *Reporter) Capabilities() tally.Capabilities { return r }
 
--- /dev/null
+++ b/metrics/text.go
@@ -0,0 +1,74 @@
+package metrics
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// bucket is one bucket of a histogram.
+type bucket struct {
+	name  string
+	upper time.Duration
+}
+
+// ReportHistogramDurationSamples adds samples of one bucket.
+func (r *Reporter) ReportHistogramDurationSamples(name string, _ map[string]string, _ tally.Buckets, _, upper time.Duration, n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.histograms == nil {
+		r.histograms = map[bucket]int64{}
+	}
+	r.histograms[bucket{name, upper}] += n
+}
+
+// Text serves all values as lines of text: a name, labels and a number.
+// Histogram buckets are cumulative, with their upper bound in seconds as the
+// label le.
+func (r *Reporter) Text() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, n := range sorted(r.counters) {
+			fmt.Fprintf(w, "%s %d\n", n, r.counters[n])
+		}
+		for _, n := range sorted(r.gauges) {
+			fmt.Fprintf(w, "%s %g\n", n, r.gauges[n])
+		}
+		r.writeHistograms(w)
+	})
+}
+
+func (r *Reporter) writeHistograms(w http.ResponseWriter) {
+	bs := make([]bucket, 0, len(r.histograms))
+	for b := range r.histograms {
+		bs = append(bs, b)
+	}
+	sort.Slice(bs, func(i, j int) bool {
+		if bs[i].name != bs[j].name {
+			return bs[i].name < bs[j].name
+		}
+		return bs[i].upper < bs[j].upper
+	})
+	var sum int64
+	for i, b := range bs {
+		if i > 0 && bs[i-1].name != b.name {
+			sum = 0
+		}
+		sum += r.histograms[b]
+		fmt.Fprintf(w, "%s{le=\"%g\"} %d\n", b.name, b.upper.Seconds(), sum)
+	}
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for n := range m {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,184 @@
+// Package registry keeps the targets that this instance knows, by service,
+// with what it believes of each: connections, health and the work it has
+// there.
+package registry
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/upstream"
+)
+
+// connShare is the part of a target's connections that one instance may
+// hold: the limit is for all callers of the target together, and most of
+// them are idle at any time.
+const connShare = 0.5
+
+type (
+	// Registry is the set of known targets. The zero value is empty and
+	// ready to use.
+	Registry struct {
+		mu       sync.RWMutex
+		byID     map[string]*Member
+		services map[string][]*Member
+		refused  map[string]bool // ids whose address answered for another target
+	}
+
+	// Member is one known target.
+	Member struct {
+		conns  *upstream.Pool
+		health health.State
+		work   Work
+
+		mu     sync.Mutex
+		target ragworthitch.Target
+		goneAt clock.Time // when the target counts as gone; 0: its entry stands
+	}
+)
+
+// Target is the target's last known entry.
+func (m *Member) Target() ragworthitch.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.target
+}
+
+// Conns are the connections to the target.
+func (m *Member) Conns() *upstream.Pool { return m.conns }
+
+// Health is the belief about the target.
+func (m *Member) Health() *health.State { return &m.health }
+
+// Work is what this instance has at the target.
+func (m *Member) Work() *Work { return &m.work }
+
+// Takes reports whether the target may get new work now.
+func (m *Member) Takes(now clock.Time) bool {
+	m.mu.Lock()
+	ok := !m.target.Draining() && (m.goneAt == 0 || now < m.goneAt)
+	m.mu.Unlock()
+	return ok && m.health.Usable(now)
+}
+
+// Put adds a target or takes over its newer entry. maxConns is how many
+// connections the target takes from all callers; 0 if not known.
+func (r *Registry) Put(t ragworthitch.Target, maxConns int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byID == nil {
+		r.byID, r.services, r.refused = map[string]*Member{}, map[string][]*Member{}, map[string]bool{}
+	}
+	if r.refused[t.ID()] {
+		return
+	}
+	m := r.byID[t.ID()]
+	if m == nil {
+		m = &Member{conns: upstream.NewPool(t.Address(), int(connShare*float64(maxConns))), target: t}
+		r.byID[t.ID()] = m
+		r.services[t.Service()] = append(r.services[t.Service()], m)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.goneAt = 0
+	m.target = t
+}
+
+// Vanish notes that a target's entry is gone; until is how long it may still
+// get work, for entries that lapsed while the store was away. A zero until
+// removes it at once.
+func (r *Registry) Vanish(id string, now, until clock.Time) {
+	r.mu.RLock()
+	m := r.byID[id]
+	r.mu.RUnlock()
+	if m == nil {
+		return
+	}
+	if until <= now {
+		r.remove(m)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.goneAt == 0 {
+		m.goneAt = until
+	}
+}
+
+// Refused notes that the target's address answered for another target: this
+// boot of it has ended, whatever its entry says.
+func (r *Registry) Refused(id string) {
+	r.mu.Lock()
+	m := r.byID[id]
+	if r.refused != nil {
+		r.refused[id] = true
+	}
+	r.mu.Unlock()
+	if m != nil {
+		r.remove(m)
+	}
+}
+
+// Expire removes the targets whose time has come.
+func (r *Registry) Expire(now clock.Time) {
+	r.mu.RLock()
+	var out []*Member
+	for _, m := range r.byID {
+		m.mu.Lock()
+		if m.goneAt != 0 && now >= m.goneAt {
+			out = append(out, m)
+		}
+		m.mu.Unlock()
+	}
+	r.mu.RUnlock()
+	for _, m := range out {
+		r.remove(m)
+	}
+}
+
+func (r *Registry) remove(m *Member) {
+	t := m.Target()
+	r.mu.Lock()
+	if r.byID[t.ID()] == m {
+		delete(r.byID, t.ID())
+		r.services[t.Service()] = slices.DeleteFunc(slices.Clone(r.services[t.Service()]), func(o *Member) bool { return o == m })
+	}
+	r.mu.Unlock()
+	m.conns.Close()
+}
+
+// IDs are the ids of all known targets.
+func (r *Registry) IDs() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]string, 0, len(r.byID))
+	for id := range r.byID {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Service returns the targets of a service. The caller must not change it.
+func (r *Registry) Service(name string) []*Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.services[name]
+}
+
+// ByID returns a target, or nil.
+func (r *Registry) ByID(id string) *Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byID[id]
+}
+
+// Len is the number of known targets.
+func (r *Registry) Len() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.byID)
+}
--- /dev/null
+++ b/route/engine.go
@@ -0,0 +1,49 @@
+package route
+
+const (
+	// prefillPerMs is how many prompt tokens an engine reads in a ms, as
+	// published for the engines we serve; only the ratio to the other
+	// figures here matters.
+	prefillPerMs = 8
+	// runningMs is what one more running stream costs a new one, in ms to
+	// its end: a step takes about 0.12 ms longer for each, over some 1,300
+	// steps of a mean answer.
+	runningMs = 150
+	// copyMs is what a backup copy there costs: it takes memory and may
+	// become a running stream.
+	copyMs = 40
+	// engineZoneMs is the way to another zone and back.
+	engineZoneMs = 2
+	// engineJitterMs spreads the choices of instances that know nothing of
+	// each other's calls; half the reading of a mean prompt.
+	engineJitterMs = 500
+)
+
+// EngineCandidate is what is known of one model engine.
+type EngineCandidate struct {
+	Takes    bool
+	Prefill  int // prompt tokens of this instance not yet read there
+	Running  int // streams of this instance there
+	Copies   int // backup copies of this instance's streams there
+	Errors   float64
+	SameZone bool
+	Barred   bool    // not wanted: already tried, or the wrong zone for a copy
+	Jitter   float64 // in [0, 1)
+}
+
+// Engines is the policy for model engines: the least time until a new
+// prompt is read, and the least disturbance of the streams beside it.
+type Engines struct{}
+
+// Usable reports whether the engine takes work.
+func (Engines) Usable(c EngineCandidate) bool { return c.Takes && !c.Barred }
+
+// Score is the expected delay in ms; lower is better.
+func (Engines) Score(c EngineCandidate, _ uint64) float64 {
+	s := float64(c.Prefill)/prefillPerMs + runningMs*float64(c.Running) + copyMs*float64(c.Copies) +
+		engineJitterMs*c.Jitter + 10*errorCostMs*c.Errors
+	if !c.SameZone {
+		s += engineZoneMs
+	}
+	return s
+}
