A leaving instance takes no calls once the balancer has noticed

Change: 2.5 s after SIGTERM the front closes its port and idle connections; calls in progress end by themselves, streams up to 0.7 s before the grace period ends. leave_late_calls.txtar failed before.

--- a/cmd/ragworthitch/script_test.go
+++ b/cmd/ragworthitch/script_test.go
@@ -2,27 +2,21 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/ragworthitch/ragworthitch/rwtest"
 )
 
-// Ports for the scripts' processes lie below the kernel's ephemeral range
-// (32768 and up): a port of that range, chosen and released, can be taken as
-// the source port of any outgoing connection before the process listens.
 const (
-	portsFrom = 20000
-	portsTo   = 32000
-
 	scriptPorts = 10 // $P0 to $P9
 
 	partStartTimeout = 10 * time.Second // a part starts in under 0.2 s beside load
@@ -44,11 +38,6 @@
 	backgroundsKey struct{}
 )
 
-var (
-	portMu   sync.Mutex
-	portNext = portsFrom + rand.IntN(portsTo-portsFrom)
-)
-
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"ragworthitch": func() { os.Exit(run()) },
@@ -70,7 +59,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Values[backgroundsKey{}] = backgrounds{}
 			for i := range scriptPorts {
-				p, err := freePort()
+				p, err := rwtest.FreePort()
 				if err != nil {
 					return err
 				}
@@ -81,27 +70,6 @@
 	})
 }
 
-// freePort returns a port that is free now and that this process gives out
-// only once.
-func freePort() (int, error) {
-	portMu.Lock()
-	defer portMu.Unlock()
-	for range portsTo - portsFrom {
-		p := portNext
-		portNext++
-		if portNext >= portsTo {
-			portNext = portsFrom
-		}
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if err != nil {
-			continue
-		}
-		ln.Close()
-		return p, nil
-	}
-	return 0, fmt.Errorf("no free port from %d to %d", portsFrom, portsTo)
-}
-
 // start runs a part as its own process and waits until it says that it has
 // started; a part that ends before fails the script at once with its log:
 //
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,14 +51,14 @@
 	headerTime = 5 * time.Second
 	idleTime   = 60 * time.Second // above any idle time an operator sets
 
-	// leaveSettle is how long a leaving instance goes on for callers whose
-	// balancer has not noticed yet: it asks every second and needs two
-	// misses.
+	// leaveSettle is how long a leaving instance still takes calls, for
+	// callers whose balancer has not noticed yet: it asks every second and
+	// needs two misses. Calls taken up to then have the rest of the grace
+	// period to end.
 	leaveSettle = 2500 * time.Millisecond
 	// leaveMargin is left of the grace period when the last streams are cut.
 	leaveMargin  = 700 * time.Millisecond
 	defaultGrace = 8 * time.Second
-	leavePoll    = 50 * time.Millisecond
 )
 
 // Instance is an entry instance. Make one with New.
@@ -69,6 +69,7 @@
 	book    *desired.Book
 	targets registry.Registry
 	handler *ingress.Handler
+	front   *http.Server
 	metrics http.Handler
 	read    atomic.Bool // the targets' table has been read
 }
@@ -111,7 +112,7 @@
 	defer stop()
 	p := pool.New().WithContext(life).WithCancelOnError()
 	i.follow(p)
-	i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
+	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
 	i.serve(p, ready, platform.Ready(i.Ready))
 	i.serveMetrics(p)
 	p.Go(func(life context.Context) error {
@@ -152,7 +153,7 @@
 }
 
 // serve runs an HTTP server on ln until the group stops.
-func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, h http.Handler) {
+func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	p.Go(func(context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -164,6 +165,7 @@
 		<-ctx.Done()
 		return srv.Close()
 	})
+	return srv
 }
 
 func (i *Instance) serveMetrics(p *pool.ContextPool) {
@@ -189,18 +191,25 @@
 	}
 	i.handler.Leave()
 	i.log.Info().Int("active", i.handler.Active()).Dur("grace", grace).Msg("instance: leaving")
-	t := time.NewTicker(leavePoll)
+	if !pause(life, leaveSettle) {
+		return
+	}
+	// From here on no call is taken: idle connections are closed, and those
+	// in use as soon as their call has ended.
+	ctx, cancel := context.WithTimeout(life, grace-leaveMargin-leaveSettle)
+	defer cancel()
+	err := i.front.Shutdown(ctx)
+	i.log.Info().Int("active", i.handler.Active()).Dur("after", clock.Now().Sub(begun)).AnErr("cut", err).Msg("instance: left")
+}
+
+// pause waits for d, and reports false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
-	for {
-		select {
-		case <-life.Done():
-			return
-		case <-t.C:
-		}
-		gone := clock.Now().Sub(begun)
-		if gone > leaveSettle && i.handler.Active() == 0 || gone > grace-leaveMargin {
-			i.log.Info().Int("active", i.handler.Active()).Dur("after", gone).Msg("instance: left")
-			return
-		}
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
