Streams go on in time: copies by address, zones that failed of late avoided, neighbours probed

Change: a new entry at an address drops the old one; a copy is looked up by its address; a zone's failures of late weigh against its other engines; a failed engine's neighbours with work of ours are asked for a connection at once.

--- a/health/health.go
+++ b/health/health.go
@@ -16,9 +16,14 @@
 	// maxOut the most after repeated failures. The next call after that is
 	// its trial: a refused connection costs a few ms and is retried
 	// elsewhere.
-	firstOut = 500 * time.Millisecond
+	firstOut = 800 * time.Millisecond
 	maxOut   = 4 * time.Second
 
+	// lately is how long a failure speaks against the other targets of the
+	// zone: they fail together, and the entries of crashed ones stand for
+	// three heartbeats, some 4 s.
+	lately = 4 * time.Second
+
 	// errorHalfLife is the time in which old failures lose half of their
 	// weight; a target that fails part of its calls comes back to trial in
 	// a few seconds.
@@ -45,6 +50,8 @@
 		mu       sync.Mutex
 		outUntil clock.Time
 		fails    int
+		failedAt clock.Time
+		probing  bool
 		gone     chan struct{} // closed when the target fails; nil until asked for
 
 		errors  float64 // share of failed calls, decaying
@@ -65,19 +72,47 @@
 func (s *State) Failed(now clock.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.gone != nil {
+		close(s.gone)
+		s.gone = nil
+	}
 	if now < s.outUntil {
 		return s.outUntil.Sub(now)
 	}
 	out := min(firstOut<<min(s.fails, 8), maxOut)
 	s.fails++
+	s.failedAt = now
 	s.outUntil = now.Add(out)
-	if s.gone != nil {
-		close(s.gone)
-		s.gone = nil
-	}
 	return out
 }
 
+// FailedLately reports whether the target has failed of late and has not
+// answered since.
+func (s *State) FailedLately(now clock.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fails > 0 && now.Sub(s.failedAt) < lately
+}
+
+// BeginProbe reports whether the target may be probed now: nobody else does.
+// EndProbe is to be called after it.
+func (s *State) BeginProbe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.probing {
+		return false
+	}
+	s.probing = true
+	return true
+}
+
+// EndProbe ends a probe.
+func (s *State) EndProbe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.probing = false
+}
+
 // Lost returns a channel that is closed when the target fails next.
 func (s *State) Lost() <-chan struct{} {
 	s.mu.Lock()
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -32,14 +33,7 @@
 func (j *job) service() string { return j.g.Service.Name() }
 
 // hasTried reports whether the call was sent to m before.
-func (j *job) hasTried(m *registry.Member) bool {
-	for _, t := range j.tried {
-		if t == m {
-			return true
-		}
-	}
-	return false
-}
+func (j *job) hasTried(m *registry.Member) bool { return slices.Contains(j.tried, m) }
 
 // again reports whether the call may be sent once more: targets are left and
 // the repeat budget has room.
@@ -78,16 +72,14 @@
 // pickEngine chooses a model engine, or nil. notZone, if set, bars a zone.
 func (j *job) pickEngine(now clock.Time, notZone string, bar ...*registry.Member) *registry.Member {
 	ms := j.h.targets.Service(j.service())
+	trouble := zoneTrouble(ms, now)
 	cands := make([]route.EngineCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
 		prefill, running, copies := m.Work().Load()
-		barred := t.Zone() == notZone
-		for _, b := range bar {
-			barred = barred || b == m
-		}
 		cands[i] = route.EngineCandidate{Takes: m.Takes(now), Prefill: prefill, Running: running, Copies: copies,
-			Errors: m.Health().Errors(now), SameZone: t.Zone() == j.h.zone, Barred: barred, Jitter: rand.Float64()}
+			Errors: m.Health().Errors(now), SameZone: t.Zone() == j.h.zone, Trouble: trouble[t.Zone()],
+			Barred: t.Zone() == notZone || slices.Contains(bar, m), Jitter: rand.Float64()}
 	}
 	if i := route.Pick(cands, route.Engines{}, 0); i >= 0 {
 		return ms[i]
@@ -95,6 +87,23 @@
 	return nil
 }
 
+// zoneTrouble is the share of each zone's targets that have failed of late.
+func zoneTrouble(ms []*registry.Member, now clock.Time) map[string]float64 {
+	all, failed := map[string]int{}, map[string]int{}
+	for _, m := range ms {
+		zone := m.Target().Zone()
+		all[zone]++
+		if m.Health().FailedLately(now) {
+			failed[zone]++
+		}
+	}
+	out := make(map[string]float64, len(all))
+	for zone, n := range all {
+		out[zone] = float64(failed[zone]) / float64(n)
+	}
+	return out
+}
+
 // failed notes that a target does not serve.
 func (j *job) failed(m *registry.Member, cause health.Cause, err error) {
 	out := m.Health().Failed(clock.Now())
@@ -102,6 +111,33 @@
 	j.h.stats.targetsOut.Inc(1)
 	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Str("cause", string(cause)).
 		AnErr("error", err).Dur("outFor", out).Msg("health: target left alone")
+	j.askPeers(m)
+}
+
+// askPeers asks the failed target's neighbours that have work of ours for a
+// connection: targets of a zone fail together, and the calls on the others
+// then need not wait for their own silence.
+func (j *job) askPeers(failed *registry.Member) {
+	now := clock.Now()
+	for _, m := range j.h.targets.Service(failed.Target().Service()) {
+		_, running, _ := m.Work().Load()
+		if m == failed || running == 0 || m.Target().Zone() != failed.Target().Zone() || !m.Health().Usable(now) {
+			continue
+		}
+		go j.probe(m, health.CauseSilent)
+	}
+}
+
+// probe asks a target for a connection, unless somebody does so already, and
+// notes if there is none.
+func (j *job) probe(m *registry.Member, cause health.Cause) {
+	if !m.Health().BeginProbe() {
+		return
+	}
+	defer m.Health().EndProbe()
+	if err := m.Conns().Probe(context.Background()); err != nil {
+		j.failed(m, cause, err)
+	}
 }
 
 // suspect asks a target whose answer broke off for a connection. A single
@@ -109,11 +145,7 @@
 // and all other calls on it move at once.
 func (j *job) suspect(m *registry.Member) {
 	m.Conns().DropIdle()
-	go func() {
-		if err := m.Conns().Probe(context.Background()); err != nil {
-			j.failed(m, health.CauseRefused, err)
-		}
-	}()
+	go j.probe(m, health.CauseRefused)
 }
 
 // elsewhere notes that a target's address answered for another target.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -42,10 +42,10 @@
 	// stream is a streamed call in progress, over all its runs.
 	stream struct {
 		*job
-		last     int64            // id of the last event passed on
-		begun    bool             // the caller has the head of the answer
-		copyAt   *registry.Member // where the run's memory is copied to
-		copied   bool             // the run has made events, so there is a copy to go on from
+		last     int64  // id of the last event passed on
+		begun    bool   // the caller has the head of the answer
+		copyAt   string // address that the run's memory is copied to
+		copied   bool   // the run has made events, so there is a copy to go on from
 		dropCopy func()
 		cutAt    clock.Time // when the run before ended; 0: there was none
 		fails    int
@@ -98,8 +98,12 @@
 // next chooses the target of the next run, and the copy it goes on from.
 func (s *stream) next() (m, from *registry.Member) {
 	now := clock.Now()
-	if s.copyAt != nil && s.copied && s.copyAt.Takes(now) {
-		return s.copyAt, s.copyAt
+	if s.copied && s.copyAt != "" {
+		// The copy lies with whatever engine has the address now: it may
+		// have been there before its entry was.
+		if c := s.h.targets.At(s.copyAt); c != nil && c.Takes(now) {
+			return c, c
+		}
 	}
 	if m := s.pickEngine(now, "", s.tried...); m != nil {
 		return m, nil
@@ -159,7 +163,7 @@
 	started, done := m.Work().Begin(prompt)
 	defer done()
 	s.sends++
-	r := &run{s: s, m: m, from: from, begun: now, heard: now, started: started, news: make(chan news, pendingEvents), probed: make(chan error, 1)}
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, started: started, news: make(chan news, pendingEvents)}
 	go r.read(ctx, o)
 	return r.watch(ctx)
 }
@@ -168,7 +172,7 @@
 // another zone, since engines of one zone fail together.
 func (s *stream) placeCopy(m *registry.Member, o *Order) {
 	s.dropCopy()
-	s.copyAt, s.copied, s.dropCopy = nil, false, func() {}
+	s.copyAt, s.copied, s.dropCopy = "", false, func() {}
 	if e := s.g.Service.Engine(); e == nil || !e.Backups || !s.g.Route.Resumable() {
 		return
 	}
@@ -176,8 +180,8 @@
 	if c == nil {
 		return
 	}
-	s.copyAt, s.dropCopy = c, c.Work().KeepCopy()
-	o.BackupAt = c.Target().Address()
+	s.copyAt, s.dropCopy = c.Target().Address(), c.Work().KeepCopy()
+	o.BackupAt = s.copyAt
 }
 
 // run is one sending of a stream to one target.
@@ -188,8 +192,7 @@
 	heard   clock.Time // last sign of life of this run
 	started func()
 	news    chan news
-	probed  chan error
-	probing bool
+	probed  clock.Time // when its target was last asked for a connection
 	events  int
 }
 
@@ -243,17 +246,11 @@
 					return err
 				}
 			}
-		case err := <-r.probed:
-			r.probing = false
-			if err != nil && ctx.Err() == nil {
-				r.s.failed(r.m, health.CauseSilent, err)
-				return errLost
-			}
 		case <-lost:
 			return errLost
 		case <-timer.C:
 			quiet := clock.Now().Sub(r.heard)
-			if r.check(ctx, quiet) {
+			if r.check(quiet) {
 				return errSilent
 			}
 			timer.Reset(r.nextCheck(quiet))
@@ -265,7 +262,7 @@
 
 // check looks at a run that has been quiet for so long, and reports whether
 // it has to move.
-func (r *run) check(ctx context.Context, quiet time.Duration) bool {
+func (r *run) check(quiet time.Duration) bool {
 	probe, move := probeAfter, moveAfter
 	if r.events == 0 && r.from == nil {
 		probe, move = firstProbe, firstMove
@@ -274,9 +271,9 @@
 		r.m.Health().Answered(clock.Now(), quiet, true)
 		return true
 	}
-	if quiet >= probe && !r.probing {
-		r.probing = true
-		go func() { r.probed <- r.m.Conns().Probe(ctx) }()
+	if quiet >= probe && clock.Now().Sub(r.probed) >= probe {
+		r.probed = clock.Now()
+		go r.s.probe(r.m, health.CauseSilent)
 	}
 	return false
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,6 +24,7 @@
 	Registry struct {
 		mu       sync.RWMutex
 		byID     map[string]*Member
+		byAddr   map[string]*Member // the newest at each address
 		services map[string][]*Member
 		refused  map[string]bool // ids whose address answered for another target
 	}
@@ -65,12 +66,15 @@
 }
 
 // Put adds a target or takes over its newer entry. maxConns is how many
-// connections the target takes from all callers; 0 if not known.
+// connections the target takes from all callers; 0 if not known. A target
+// whose address a new one has taken is gone: a crashed target's entry stands
+// for some seconds after its successor's has come.
 func (r *Registry) Put(t ragworthitch.Target, maxConns int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byID == nil {
-		r.byID, r.services, r.refused = map[string]*Member{}, map[string][]*Member{}, map[string]bool{}
+		r.byID, r.byAddr = map[string]*Member{}, map[string]*Member{}
+		r.services, r.refused = map[string][]*Member{}, map[string]bool{}
 	}
 	if r.refused[t.ID()] {
 		return
@@ -78,7 +82,11 @@
 	m := r.byID[t.ID()]
 	if m == nil {
 		m = &Member{conns: upstream.NewPool(t.Address(), int(connShare*float64(maxConns))), target: t}
-		r.byID[t.ID()] = m
+		if old := r.byAddr[t.Address()]; old != nil {
+			r.refused[old.target.ID()] = true
+			r.forget(old)
+		}
+		r.byID[t.ID()], r.byAddr[t.Address()] = m, m
 		r.services[t.Service()] = append(r.services[t.Service()], m)
 		return
 	}
@@ -141,16 +149,32 @@
 }
 
 func (r *Registry) remove(m *Member) {
-	t := m.Target()
 	r.mu.Lock()
-	if r.byID[t.ID()] == m {
-		delete(r.byID, t.ID())
-		r.services[t.Service()] = slices.DeleteFunc(slices.Clone(r.services[t.Service()]), func(o *Member) bool { return o == m })
-	}
+	r.forget(m)
 	r.mu.Unlock()
+}
+
+// forget takes m out of the registry; r.mu is held.
+func (r *Registry) forget(m *Member) {
+	t := m.Target()
+	if r.byID[t.ID()] != m {
+		return
+	}
+	delete(r.byID, t.ID())
+	if r.byAddr[t.Address()] == m {
+		delete(r.byAddr, t.Address())
+	}
+	r.services[t.Service()] = slices.DeleteFunc(slices.Clone(r.services[t.Service()]), func(o *Member) bool { return o == m })
 	m.conns.Close()
 }
 
+// At returns the target that now has an address, or nil.
+func (r *Registry) At(addr string) *Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byAddr[addr]
+}
+
 // IDs are the ids of all known targets.
 func (r *Registry) IDs() []string {
 	r.mu.RLock()
--- a/route/engine.go
+++ b/route/engine.go
@@ -17,6 +17,11 @@
 	// engineJitterMs spreads the choices of instances that know nothing of
 	// each other's calls; half the reading of a mean prompt.
 	engineJitterMs = 500
+	// zoneTroubleMs is what it costs, in ms, if all other engines of the
+	// zone have failed of late: engines of a zone fail together, and a
+	// stream that loses its engine before its first event waits for a
+	// second reading.
+	zoneTroubleMs = 6000
 )
 
 // EngineCandidate is what is known of one model engine.
@@ -27,6 +32,7 @@
 	Copies   int // backup copies of this instance's streams there
 	Errors   float64
 	SameZone bool
+	Trouble  float64 // share of the zone's engines that have failed of late
 	Barred   bool    // not wanted: already tried, or the wrong zone for a copy
 	Jitter   float64 // in [0, 1)
 }
@@ -41,7 +47,7 @@
 // Score is the expected delay in ms; lower is better.
 func (Engines) Score(c EngineCandidate, _ uint64) float64 {
 	s := float64(c.Prefill)/prefillPerMs + runningMs*float64(c.Running) + copyMs*float64(c.Copies) +
-		engineJitterMs*c.Jitter + 10*errorCostMs*c.Errors
+		engineJitterMs*c.Jitter + 10*errorCostMs*c.Errors + zoneTroubleMs*c.Trouble
 	if !c.SameZone {
 		s += engineZoneMs
 	}
