Entries tell each other their work at the targets; streams that can be in time go first

Change: exchange: views of the own work by WebSocket and CBOR between the internal addresses, found by a table in the store; engines chosen by the work of all entries and by memory; ranks: continued streams, new ones, returned ones; without a copy a stream moves only after 4 s (12 s before its first event).

--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -8,6 +8,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
 
@@ -24,6 +25,16 @@
 		Gone   bool
 	}
 
+	// PeerEntry is another entry instance's entry, or the news that it is
+	// gone.
+	PeerEntry struct {
+		Peer exchange.Peer
+		Gone bool
+	}
+
+	// PeerSink takes peers over into an Exchange.
+	PeerSink struct{ Exchange *exchange.Exchange }
+
 	// BookSink takes desired states over into a Book.
 	BookSink struct {
 		Book *desired.Book
@@ -58,6 +69,20 @@
 // Away does nothing: the book's proof ages by itself.
 func (s BookSink) Away(clock.Time) {}
 
+// Replace takes all peers over; one that is missing is given up by the
+// exchange itself when it does not answer.
+func (s PeerSink) Replace(rows []PeerEntry, at clock.Time) { s.Change(rows, at) }
+
+// Change takes changed peers over.
+func (s PeerSink) Change(rows []PeerEntry, _ clock.Time) {
+	for _, e := range rows {
+		s.Exchange.Know(e.Peer, e.Gone)
+	}
+}
+
+// Away does nothing: peers are known to each other without the store.
+func (s PeerSink) Away(clock.Time) {}
+
 // NewTargetSink returns a sink into targets; read is called after each whole
 // reading of the table.
 func NewTargetSink(targets *registry.Registry, book *desired.Book, log zerolog.Logger, read func()) *TargetSink {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -45,9 +45,12 @@
 		After    string        // go on after this event
 		CopyAt   string        // address of the engine to go on from: it holds a copy of the run's memory
 		BackupAt string        // address of the engine to copy the run's memory to as it grows
-		Urgent   bool          // to be run before others
+		Rank     Rank          // which orders a busy engine runs first
 	}
 
+	// Rank orders the work of a busy engine.
+	Rank uint8
+
 	// Reply is the head of a target's answer.
 	Reply struct {
 		Status int
@@ -68,6 +71,19 @@
 	}
 )
 
+// Ranks, most urgent first.
+const (
+	// RankFirst is for streams that go on after a loss: the caller has part
+	// of the answer and waits in the middle of it.
+	RankFirst Rank = iota
+	// RankUsual is for new calls.
+	RankUsual
+	// RankLast is for streams that the caller itself brought back after its
+	// connection broke. They have paused for longer than callers expect
+	// already; new calls beside them can still be in time.
+	RankLast
+)
+
 // failure reports whether a reply says that the target could not serve the
 // call.
 func (r *Reply) failure() bool { return r.Status >= http.StatusInternalServerError }
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/health"
@@ -58,9 +59,8 @@
 	cands := make([]route.PlainCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
-		_, running, _ := m.Work().Load()
 		cands[i] = route.PlainCandidate{Takes: m.Takes(now) && !j.hasTried(m), LatencyMs: m.Health().Latency(),
-			Errors: m.Health().Errors(now), Running: running, Slots: t.Slots(),
+			Errors: m.Health().Errors(now), Running: m.Work().All().Running, Slots: t.Slots(),
 			SameZone: t.Zone() == j.h.zone, Jitter: rand.Float64()}
 	}
 	if i := route.Pick(cands, route.Plain{}, 0); i >= 0 {
@@ -76,8 +76,8 @@
 	cands := make([]route.EngineCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
-		prefill, running, copies := m.Work().Load()
-		cands[i] = route.EngineCandidate{Takes: m.Takes(now), Prefill: prefill, Running: running, Copies: copies,
+		load := m.Work().All()
+		cands[i] = route.EngineCandidate{Takes: m.Takes(now), Prefill: load.Prefill, Running: load.Running, Memory: memory(load.Tokens, j.g.Service.Engine()),
 			Errors: m.Health().Errors(now), SameZone: t.Zone() == j.h.zone, Trouble: trouble[t.Zone()],
 			Barred: t.Zone() == notZone || slices.Contains(bar, m), Jitter: rand.Float64()}
 	}
@@ -87,6 +87,14 @@
 	return nil
 }
 
+// memory is the share of an engine's memory that so many tokens take.
+func memory(tokens int, e *ragworthitch.Engine) float64 {
+	if e == nil || e.KVTokens == 0 {
+		return 0
+	}
+	return float64(tokens) / float64(e.KVTokens)
+}
+
 // zoneTrouble is the share of each zone's targets that have failed of late.
 func zoneTrouble(ms []*registry.Member, now clock.Time) map[string]float64 {
 	all, failed := map[string]int{}, map[string]int{}
@@ -120,8 +128,7 @@
 func (j *job) askPeers(failed *registry.Member) {
 	now := clock.Now()
 	for _, m := range j.h.targets.Service(failed.Target().Service()) {
-		_, running, _ := m.Work().Load()
-		if m == failed || running == 0 || m.Target().Zone() != failed.Target().Zone() || !m.Health().Usable(now) {
+		if m == failed || m.Work().Own().Running == 0 || m.Target().Zone() != failed.Target().Zone() || !m.Health().Usable(now) {
 			continue
 		}
 		go j.probe(m, health.CauseSilent)
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -133,7 +133,7 @@
 // order sends the call to m and reads the whole answer.
 func (j *job) order(ctx context.Context, m *registry.Member) try {
 	begun := clock.Now()
-	_, end := m.Work().Begin(0)
+	_, end := m.Work().Begin(0, 0)
 	defer end()
 	t := try{m: m}
 	o := &Order{Call: j.c, Target: m.Target(), Member: m, Org: j.g.Org, Left: j.left(begun)}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -26,9 +26,15 @@
 	// takes a second and more to come.
 	firstProbe = 600 * time.Millisecond
 	// firstMove is how long a target that still takes connections may take
-	// to the first event: a mean prompt is read in a second, and several may
-	// wait before it. Moving throws away what was read.
-	firstMove = 6 * time.Second
+	// to the first event, and moveAnew how long a stream without a copy may
+	// pause: several prompts of a second each may wait before it, and moving
+	// throws away what was read.
+	firstMove = 12 * time.Second
+	moveAnew  = 4 * time.Second
+
+	// usualOutput is the part of the most tokens asked for that an answer
+	// usually has.
+	usualOutput = 0.75
 
 	pendingEvents = 64 // events read ahead of a slow caller
 )
@@ -151,7 +157,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // closes the run's connection: the target stops its work
 	now := clock.Now()
-	o := &Order{Call: s.c, Target: m.Target(), Member: m, Org: s.g.Org, Left: s.left(now), Urgent: s.begun}
+	o := &Order{Call: s.c, Target: m.Target(), Member: m, Org: s.g.Org, Left: s.left(now), Rank: s.rank()}
 	if s.last > 0 {
 		o.After = strconv.FormatInt(s.last, 10)
 	}
@@ -160,7 +166,8 @@
 		o.CopyAt, prompt = from.Target().Address(), 0
 	}
 	s.placeCopy(m, o)
-	started, done := m.Work().Begin(prompt)
+	s.logSend(m, from, o)
+	started, done := m.Work().Begin(prompt, s.size())
 	defer done()
 	s.sends++
 	r := &run{s: s, m: m, from: from, begun: now, heard: now, started: started, news: make(chan news, pendingEvents)}
@@ -168,6 +175,30 @@
 	return r.watch(ctx)
 }
 
+// rank is the stream's place among others at a busy engine.
+func (s *stream) rank() Rank {
+	switch {
+	case s.begun:
+		return RankFirst
+	case s.c.After != "":
+		return RankLast
+	}
+	return RankUsual
+}
+
+// size is the memory that the stream takes at an engine when it is done, in
+// tokens: its prompt and an answer of the usual share of what it may generate.
+func (s *stream) size() int { return s.c.Prompt + int(usualOutput*float64(s.c.Output)) }
+
+// logSend writes the line of the choice of a target.
+func (s *stream) logSend(m, from *registry.Member, o *Order) {
+	load := m.Work().All()
+	s.h.log.Info().Str("request", s.c.ID).Str("route", s.g.Route.Name()).Str("org", s.g.Org).Int64("version", s.g.Version).
+		Dur("proofAge", s.g.Age).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
+		Int("tokens", load.Tokens).Bool("fromCopy", from != nil).Str("copyTo", o.BackupAt).Int64("after", s.last).Int("prompt", s.c.Prompt).
+		Dur("left", o.Left).Msg("route: stream sent")
+}
+
 // placeCopy chooses where the run's memory is copied to: an engine in
 // another zone, since engines of one zone fail together.
 func (s *stream) placeCopy(m *registry.Member, o *Order) {
@@ -180,7 +211,7 @@
 	if c == nil {
 		return
 	}
-	s.copyAt, s.dropCopy = c.Target().Address(), c.Work().KeepCopy()
+	s.copyAt, s.dropCopy = c.Target().Address(), c.Work().KeepCopy(s.size())
 	o.BackupAt = s.copyAt
 }
 
@@ -264,8 +295,11 @@
 // it has to move.
 func (r *run) check(quiet time.Duration) bool {
 	probe, move := probeAfter, moveAfter
-	if r.events == 0 && r.from == nil {
+	switch {
+	case r.events == 0 && r.from == nil:
 		probe, move = firstProbe, firstMove
+	case !r.s.copied || r.s.copyAt == "":
+		move = moveAnew
 	}
 	if quiet >= move {
 		r.m.Health().Answered(clock.Now(), quiet, true)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 	"github.com/uber-go/tally/v4"
@@ -21,9 +22,11 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/discovery"
+	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 const (
@@ -48,6 +51,16 @@
 	// grow to before it works harder.
 	heapShare = 0.7
 
+	// peerWait and peerGap pace the calls for other instances' entries,
+	// which change when machines are added or replaced.
+	peerWait = 10 * time.Second
+	peerGap  = time.Second
+	// announceTime bounds a try to write this instance's entry, and the
+	// pause after one that failed.
+	announceTime = time.Second
+
+	metricsPath = "/metrics"
+
 	headerTime = 5 * time.Second
 	idleTime   = 60 * time.Second // above any idle time an operator sets
 
@@ -69,6 +82,7 @@
 	book    *desired.Book
 	targets registry.Registry
 	handler *ingress.Handler
+	peers   *exchange.Exchange
 	front   *http.Server
 	metrics http.Handler
 	read    atomic.Bool // the targets' table has been read
@@ -83,6 +97,7 @@
 	b := boot.Bounds()
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics,
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
+	i.peers = exchange.New(boot.Node(), &i.targets, log)
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
 		Sender: platform.Sender{}, Log: log, Scope: scope})
@@ -114,7 +129,7 @@
 	i.follow(p)
 	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
 	i.serve(p, ready, platform.Ready(i.Ready))
-	i.serveMetrics(p)
+	i.serveInternal(p)
 	p.Go(func(life context.Context) error {
 		select {
 		case <-life.Done():
@@ -125,7 +140,7 @@
 		return nil
 	})
 	i.log.Info().Str("front", i.boot.Front()).Str("ready", i.boot.Ready()).Str("store", i.boot.Store()).
-		Str("metrics", i.boot.Metrics()).Msg("instance: started")
+		Str("internal", i.boot.Internal()).Msg("instance: started")
 	if err := p.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
@@ -168,16 +183,44 @@
 	return srv
 }
 
-func (i *Instance) serveMetrics(p *pool.ContextPool) {
-	if i.boot.Metrics() == "" || i.metrics == nil {
+// serveInternal serves the metrics and takes other instances' views.
+func (i *Instance) serveInternal(p *pool.ContextPool) {
+	if i.boot.Internal() == "" {
 		return
 	}
-	ln, err := net.Listen("tcp", i.boot.Metrics())
+	ln, err := net.Listen("tcp", i.boot.Internal())
 	if err != nil {
-		i.log.Warn().Err(err).Msg("instance: metrics are not served")
+		i.log.Warn().Err(err).Msg("instance: no internal address; neither metrics nor views are served")
 		return
 	}
-	i.serve(p, ln, i.metrics)
+	r := httprouter.New()
+	r.Handler(http.MethodGet, wire.ViewPath, i.peers)
+	if i.metrics != nil {
+		r.Handler(http.MethodGet, metricsPath, i.metrics)
+	}
+	i.serve(p, ln, r)
+	table := platform.PeerTable{Store: i.store, Log: i.log}
+	follow := &discovery.Follower[discovery.PeerEntry]{Name: "entries", Log: i.log, Source: table,
+		Sink: discovery.PeerSink{Exchange: i.peers}, Wait: peerWait, Gap: peerGap}
+	p.Go(i.peers.Run)
+	p.Go(follow.Run)
+	p.Go(func(ctx context.Context) error { return i.announce(ctx, table) })
+}
+
+// announce writes this instance's entry.
+func (i *Instance) announce(ctx context.Context, table platform.PeerTable) error {
+	me := exchange.Peer{Node: i.boot.Node(), Addr: i.boot.Internal()}
+	for ctx.Err() == nil {
+		actx, cancel := context.WithTimeout(ctx, announceTime)
+		err := table.Announce(actx, me)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		i.log.Warn().Err(err).Msg("instance: entry not written; tried again")
+		pause(ctx, announceTime)
+	}
+	return nil
 }
 
 // leave lets the calls in progress end: new callers are turned to other
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -206,3 +206,21 @@
 	defer r.mu.RUnlock()
 	return len(r.byID)
 }
+
+// All returns all known targets.
+func (r *Registry) All() []*Member {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*Member, 0, len(r.byID))
+	for _, m := range r.byID {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Forget drops what an instance has said of its work.
+func (r *Registry) Forget(node string) {
+	for _, m := range r.All() {
+		m.work.SetOther(node, Load{})
+	}
+}
--- a/registry/work.go
+++ b/registry/work.go
@@ -2,54 +2,83 @@
 
 import "sync"
 
-// Work is the work that one instance has at one target.
-type Work struct {
-	mu      sync.Mutex
-	prefill int // prompt tokens sent and not yet answered by a first event
-	running int // calls in progress
-	copies  int // backup copies placed there
-}
+type (
+	// Load is work at a target.
+	Load struct {
+		Prefill int // prompt tokens sent and not yet answered by a first event
+		Running int // calls in progress
+		Tokens  int // memory that calls and backup copies take, in tokens
+	}
 
-// Begin counts a call with a prompt of so many tokens; end is to be called
-// when it is over, started when its first event has come.
-func (w *Work) Begin(tokens int) (started, end func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.prefill += tokens
-	w.running++
-	open := true
-	started = func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if open {
-			w.prefill -= tokens
-			open = false
-		}
+	// Work is what is known of the work at one target: this instance's own,
+	// exactly, and what other instances last said of theirs. The zero value
+	// is ready to use.
+	Work struct {
+		mu     sync.Mutex
+		own    Load
+		others map[string]Load // by instance
 	}
+)
+
+// add is the sum of two loads.
+func (l Load) add(o Load) Load {
+	return Load{Prefill: l.Prefill + o.Prefill, Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens}
+}
+
+// Begin counts a call with a prompt to be read and the memory it takes, in
+// tokens; started is to be called when its first event has come, end when it
+// is over.
+func (w *Work) Begin(prompt, tokens int) (started, end func()) {
+	w.change(Load{Prefill: prompt, Running: 1, Tokens: tokens})
+	var once sync.Once
+	started = func() { once.Do(func() { w.change(Load{Prefill: -prompt}) }) }
 	return started, func() {
 		started()
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.running--
+		w.change(Load{Running: -1, Tokens: -tokens})
 	}
 }
 
-// KeepCopy counts a backup copy placed at the target; drop is to be called
-// when it is not needed any more.
-func (w *Work) KeepCopy() (drop func()) {
+// KeepCopy counts a backup copy of so many tokens placed at the target; drop
+// is to be called when it is not needed any more.
+func (w *Work) KeepCopy(tokens int) (drop func()) {
+	w.change(Load{Tokens: tokens})
+	return func() { w.change(Load{Tokens: -tokens}) }
+}
+
+func (w *Work) change(by Load) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.copies++
-	return func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.copies--
+	w.own = w.own.add(by)
+}
+
+// Own is this instance's work.
+func (w *Work) Own() Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.own
+}
+
+// All is the work of all instances, as far as they have said.
+func (w *Work) All() Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := w.own
+	for _, l := range w.others {
+		sum = sum.add(l)
 	}
+	return sum
 }
 
-// Load returns the counts.
-func (w *Work) Load() (prefill, running, copies int) {
+// SetOther takes another instance's word for its work.
+func (w *Work) SetOther(node string, l Load) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.prefill, w.running, w.copies
+	if l == (Load{}) {
+		delete(w.others, node)
+		return
+	}
+	if w.others == nil {
+		w.others = map[string]Load{}
+	}
+	w.others[node] = l
 }
--- a/route/engine.go
+++ b/route/engine.go
@@ -9,14 +9,16 @@
 	// its end: a step takes about 0.12 ms longer for each, over some 1,300
 	// steps of a mean answer.
 	runningMs = 150
-	// copyMs is what a backup copy there costs: it takes memory and may
-	// become a running stream.
-	copyMs = 40
+	// memoryMs is what it costs, in ms, to be sent to an engine whose memory
+	// would be full, above the share memoryFree: the newest streams there
+	// are stopped and read in again when it runs out.
+	memoryMs   = 8000
+	memoryFree = 0.6
 	// engineZoneMs is the way to another zone and back.
-	engineZoneMs = 2
+	engineZoneMs = 100
 	// engineJitterMs spreads the choices of instances that know nothing of
 	// each other's calls; half the reading of a mean prompt.
-	engineJitterMs = 500
+	engineJitterMs = 100
 	// zoneTroubleMs is what it costs, in ms, if all other engines of the
 	// zone have failed of late: engines of a zone fail together, and a
 	// stream that loses its engine before its first event waits for a
@@ -27,9 +29,9 @@
 // EngineCandidate is what is known of one model engine.
 type EngineCandidate struct {
 	Takes    bool
-	Prefill  int // prompt tokens of this instance not yet read there
-	Running  int // streams of this instance there
-	Copies   int // backup copies of this instance's streams there
+	Prefill  int     // prompt tokens not yet read there
+	Running  int     // streams there
+	Memory   float64 // share of its memory that streams and copies take
 	Errors   float64
 	SameZone bool
 	Trouble  float64 // share of the zone's engines that have failed of late
@@ -46,7 +48,7 @@
 
 // Score is the expected delay in ms; lower is better.
 func (Engines) Score(c EngineCandidate, _ uint64) float64 {
-	s := float64(c.Prefill)/prefillPerMs + runningMs*float64(c.Running) + copyMs*float64(c.Copies) +
+	s := float64(c.Prefill)/prefillPerMs + runningMs*float64(c.Running) + memoryMs*max(0, c.Memory-memoryFree) +
 		engineJitterMs*c.Jitter + 10*errorCostMs*c.Errors + zoneTroubleMs*c.Trouble
 	if !c.SameZone {
 		s += engineZoneMs
--- /dev/null
+++ b/wire/view.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ViewPath is where an entry instance takes the views of others.
+const ViewPath = "/v1/view"
+
+// maxView bounds one view; a thousand targets fit.
+const maxView = 128 << 10
+
+type (
+	// View is what one entry instance has at the targets, or what of that
+	// has changed since its last view on the same connection. One message a
+	// frame, nothing is answered.
+	View struct {
+		Node  string
+		Loads []TargetLoad
+	}
+
+	// TargetLoad is one instance's work at one target; all zero when it has
+	// none any more.
+	TargetLoad struct {
+		Target  string
+		Prefill int // prompt tokens sent and not yet read
+		Running int // calls in progress
+		Tokens  int // memory its calls and copies take there, in tokens
+	}
+
+	viewFrame struct {
+		N string      `cbor:"1,keyasint"`
+		L []loadFrame `cbor:"2,keyasint,omitempty"`
+	}
+
+	loadFrame struct {
+		_ struct{} `cbor:",toarray"`
+		T string
+		P int
+		R int
+		K int
+	}
+)
+
+// EncodeView maps a view to its CBOR frame.
+func EncodeView(v View) ([]byte, error) {
+	f := viewFrame{N: v.Node}
+	for _, l := range v.Loads {
+		f.L = append(f.L, loadFrame{T: l.Target, P: l.Prefill, R: l.Running, K: l.Tokens})
+	}
+	return cbor.Marshal(f)
+}
+
+// DecodeView maps a CBOR frame to a view; errors wrap ErrBadFrame.
+func DecodeView(b []byte) (View, error) {
+	var f viewFrame
+	if err := cbor.Unmarshal(b, &f); err != nil {
+		return View{}, fmt.Errorf("%w: %v", ErrBadFrame, err)
+	}
+	v := View{Node: f.N}
+	for _, l := range f.L {
+		v.Loads = append(v.Loads, TargetLoad{Target: l.T, Prefill: l.P, Running: l.R, Tokens: l.K})
+	}
+	return v, nil
+}
+
+// DialView connects to the instance at addr (host:port) to send it views.
+func DialView(ctx context.Context, addr string) (*Conn, error) {
+	return dial(ctx, addr, ViewPath, maxView)
+}
+
+// AcceptView takes a connection of an instance that sends its views.
+func AcceptView(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+	return accept(w, r, maxView)
+}
+
+// SendView writes one view.
+func (c *Conn) SendView(ctx context.Context, v View) error {
+	b, err := EncodeView(v)
+	if err != nil {
+		return err
+	}
+	return c.write(ctx, b)
+}
+
+// RecvView reads one view.
+func (c *Conn) RecvView(ctx context.Context) (View, error) {
+	_, b, err := c.ws.Read(ctx)
+	if err != nil {
+		return View{}, fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return DecodeView(b)
+}
+
+func (c *Conn) write(ctx context.Context, b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return nil
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -1,5 +1,6 @@
-// Package wire is the protocol between entry instances and agents:
-// WebSocket carrying one CBOR message a frame.
+// Package wire is the protocol between our own processes: WebSocket carrying
+// one CBOR message a frame. Entry instances and agents exchange Messages;
+// entry instances send one another Views of what they have at the targets.
 //
 // An entry dials an agent at ws://AGENT/v1/wire and keeps the connection.
 // The entry sends Start (a generation or its resume from a prefix), Call (a
@@ -179,22 +180,26 @@
 }
 
 // Dial connects to the agent at addr (host:port).
-func Dial(ctx context.Context, addr string) (*Conn, error) {
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, nil)
+func Dial(ctx context.Context, addr string) (*Conn, error) { return dial(ctx, addr, Path, maxFrame) }
+
+// Accept upgrades an HTTP request to a protocol connection.
+func Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) { return accept(w, r, maxFrame) }
+
+func dial(ctx context.Context, addr, path string, limit int64) (*Conn, error) {
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial %s: %v", ErrClosed, addr, err)
 	}
-	ws.SetReadLimit(maxFrame)
+	ws.SetReadLimit(limit)
 	return &Conn{ws: ws}, nil
 }
 
-// Accept upgrades an HTTP request to a protocol connection.
-func Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+func accept(w http.ResponseWriter, r *http.Request, limit int64) (*Conn, error) {
 	ws, err := websocket.Accept(w, r, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: accept: %v", ErrClosed, err)
 	}
-	ws.SetReadLimit(maxFrame)
+	ws.SetReadLimit(limit)
 	return &Conn{ws: ws}, nil
 }
 
@@ -204,12 +209,7 @@
 	if err != nil {
 		return err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
-		return fmt.Errorf("%w: %v", ErrClosed, err)
-	}
-	return nil
+	return c.write(ctx, b)
 }
 
 // Recv reads one message.
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -87,3 +87,18 @@
 		assert.Equal(t, m, m2)
 	})
 }
+
+func TestViewRoundTrip(t *testing.T) {
+	for _, v := range []View{
+		{Node: "a"},
+		{Node: "a", Loads: []TargetLoad{{Target: "i-1", Prefill: 8200, Running: 3, Tokens: 27000}, {Target: "i-2"}}},
+	} {
+		b, err := EncodeView(v)
+		require.NoError(t, err)
+		got, err := DecodeView(b)
+		require.NoError(t, err)
+		assert.Equal(t, v, got)
+	}
+	_, err := DecodeView([]byte{0xff, 0x00})
+	assert.True(t, errors.Is(err, ErrBadFrame))
+}
