A stream whose answer has begun and then stays silent moves after 1.2 s, not 12 s

Change: once the head has come the limit is that of a running stream; 4 s where the engine's memory is short, as it may be reading the stream in again.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -26,11 +26,17 @@
 	// takes a second and more to come.
 	firstProbe = 600 * time.Millisecond
 	// firstMove is how long a target that still takes connections may take
-	// to the first event, and moveAnew how long a stream without a copy may
-	// pause: several prompts of a second each may wait before it, and moving
-	// throws away what was read.
+	// to answer at all: several prompts of a second each may wait before
+	// it, and moving throws away what was read.
 	firstMove = 12 * time.Second
-	moveAnew  = 4 * time.Second
+	// moveAnew is how long a stream without a copy may pause: longer than an
+	// engine stops for a prompt beside it, so that its answer is broken. If
+	// the engine's memory is short (above fullMemory) it may have been
+	// stopped to be read in again, which takes seconds; moving it then only
+	// adds a second reading.
+	moveAnew     = 1200 * time.Millisecond
+	moveAnewFull = 4 * time.Second
+	fullMemory   = 0.8
 
 	// usualOutput is the part of the most tokens asked for that an answer
 	// usually has.
@@ -225,6 +231,9 @@
 	news    chan news
 	probed  clock.Time // when its target was last asked for a connection
 	events  int
+	// answered: the answer's head has come. Engines send it when they begin
+	// to generate.
+	answered bool
 }
 
 // read sends the order and reports what comes back.
@@ -268,6 +277,7 @@
 			r.heard = now
 			if n.reply != nil {
 				head = n.reply
+				r.answered = true
 			}
 			if n.end {
 				return r.ended(ctx, head, n)
@@ -296,9 +306,12 @@
 func (r *run) check(quiet time.Duration) bool {
 	probe, move := probeAfter, moveAfter
 	switch {
-	case r.events == 0 && r.from == nil:
+	case !r.answered && r.from == nil:
 		probe, move = firstProbe, firstMove
-	case !r.s.copied || r.s.copyAt == "":
+	case r.s.copied && r.s.copyAt != "":
+	case memory(r.m.Work().All().Tokens, r.s.g.Service.Engine()) > fullMemory:
+		move = moveAnewFull
+	default:
 		move = moveAnew
 	}
 	if quiet >= move {
