Fewer store calls: longer waits for changes

Change: 0.8 s a call for the desired state, 2 s for targets; changes still end a call at once. A call may be denied on a proof up to 0.95 of the time within which versions have to be in force: the proof covers all that was in force when its read began.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -32,16 +32,16 @@
 const (
 	// denyShare and keyShare of the operator's bounds are left to the age
 	// of a proof; the rest is for the way of the answer and slow machines.
-	denyShare = 0.6
+	denyShare = 0.95
 	keyShare  = 0.8
 
 	// desiredWait is how long a call waits for a new desired state. The
 	// proof is as old as the call, so keys are judged on proofs of twice
 	// this age at most.
-	desiredWait = 500 * time.Millisecond
+	desiredWait = 800 * time.Millisecond
 	// targetWait and targetGap pace the calls for targets' entries: every
 	// target writes every 1.2 s, so changes are taken in batches.
-	targetWait = 800 * time.Millisecond
+	targetWait = 2 * time.Second
 	targetGap  = 400 * time.Millisecond
 	// reread is how often a table is read whole, against changes lost
 	// without notice.
