A first event that is late for its queue is looked for elsewhere

Change: the time a first event may take follows from the prompts known to wait at the engine: 1.5 times that plus 0.8 s, more for returned streams.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -10,6 +10,7 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
@@ -25,10 +26,19 @@
 	// firstProbe is the same as probeAfter before the first event, which
 	// takes a second and more to come.
 	firstProbe = 600 * time.Millisecond
-	// firstMove is how long a target that still takes connections may take
-	// to answer at all: several prompts of a second each may wait before
-	// it, and moving throws away what was read.
-	firstMove = 12 * time.Second
+	// A first event is late, so that the stream is sent to another target,
+	// at lateShare times the time it should take plus lateMargin: prompts
+	// are read one after the other at a known pace, and what waits there is
+	// known from all instances. An answer may be lost without a sign; 1.5
+	// times the second a mean prompt takes, plus 0.8 s, leaves time for a
+	// second reading within the 4.5 s that callers expect. Returned streams
+	// wait behind new ones, and so longer.
+	lateShare      = 1.5
+	lateMargin     = 800 * time.Millisecond
+	lateShareLast  = 2.5
+	lateMarginLast = 3 * time.Second
+	// startTime is what a first event takes besides the reading of prompts.
+	startTime = 100 * time.Millisecond
 	// moveAnew is how long a stream without a copy may pause: longer than an
 	// engine stops for a prompt beside it, so that its answer is broken. If
 	// the engine's memory is short (above fullMemory) it may have been
@@ -90,7 +100,7 @@
 			s.end(ctx, http.StatusServiceUnavailable, "no target", nil)
 			return
 		}
-		err := s.attempt(ctx, m, from)
+		r, err := s.attempt(ctx, m, from)
 		if err == nil {
 			s.h.stats.answered.Inc(1)
 			return
@@ -99,7 +109,7 @@
 			s.outOfTime(ctx)
 			return
 		}
-		s.lost(m, from, err)
+		s.lost(r, err)
 		if s.mayRun && !s.g.Route.Idempotent() || !s.again(clock.Now()) || s.fails >= maxDials+s.g.Route.MaxTargets() {
 			s.end(ctx, http.StatusBadGateway, "no target left to go on", err)
 			return
@@ -125,15 +135,16 @@
 }
 
 // lost notes how a run ended.
-func (s *stream) lost(m, from *registry.Member, err error) {
-	now := clock.Now()
+func (s *stream) lost(r *run, err error) {
+	now, m := clock.Now(), r.m
 	if s.cutAt == 0 || s.begun {
 		s.cutAt = now
 	}
 	s.fails++
 	s.tried = append(s.tried, m)
-	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Bool("fromCopy", from != nil).
-		Int64("lastEvent", s.last).Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
+	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
+		Int64("lastEvent", s.last).Bool("answered", r.answered).Int("events", r.events).Dur("ran", now.Sub(r.begun)).Dur("quiet", now.Sub(r.heard)).
+		Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
 }
 
 // end gives the stream up. A stream that has begun is cut, so that it does
@@ -159,7 +170,7 @@
 
 // attempt makes one run and passes its events on. It returns nil when the
 // stream, or an answer in its place, is complete at the caller.
-func (s *stream) attempt(ctx context.Context, m, from *registry.Member) error {
+func (s *stream) attempt(ctx context.Context, m, from *registry.Member) (*run, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // closes the run's connection: the target stops its work
 	now := clock.Now()
@@ -173,12 +184,24 @@
 	}
 	s.placeCopy(m, o)
 	s.logSend(m, from, o)
+	firstBy := s.firstBy(m, prompt)
 	started, done := m.Work().Begin(prompt, s.size())
 	defer done()
 	s.sends++
-	r := &run{s: s, m: m, from: from, begun: now, heard: now, started: started, news: make(chan news, pendingEvents)}
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, firstBy: firstBy, started: started, news: make(chan news, pendingEvents)}
 	go r.read(ctx, o)
-	return r.watch(ctx)
+	return r, r.watch(ctx)
+}
+
+// firstBy is how long a first event may take at m.
+func (s *stream) firstBy(m *registry.Member, prompt int) time.Duration {
+	tokens := m.Work().All().Prefill + prompt
+	expected := startTime + time.Duration(float64(tokens)/route.PrefillPerMs*float64(time.Millisecond))
+	share, margin := lateShare, lateMargin
+	if s.rank() == RankLast {
+		share, margin = lateShareLast, lateMarginLast
+	}
+	return time.Duration(share*float64(expected)) + margin
 }
 
 // rank is the stream's place among others at a busy engine.
@@ -226,7 +249,8 @@
 	s       *stream
 	m, from *registry.Member
 	begun   clock.Time
-	heard   clock.Time // last sign of life of this run
+	heard   clock.Time    // last sign of life of this run
+	firstBy time.Duration // after so long without an answer it is lost
 	started func()
 	news    chan news
 	probed  clock.Time // when its target was last asked for a connection
@@ -307,7 +331,7 @@
 	probe, move := probeAfter, moveAfter
 	switch {
 	case !r.answered && r.from == nil:
-		probe, move = firstProbe, firstMove
+		probe, move = firstProbe, r.firstBy
 	case r.s.copied && r.s.copyAt != "":
 	case memory(r.m.Work().All().Tokens, r.s.g.Service.Engine()) > fullMemory:
 		move = moveAnewFull
--- a/route/engine.go
+++ b/route/engine.go
@@ -1,10 +1,9 @@
 package route
 
 const (
-	// prefillPerMs is how many prompt tokens an engine reads in a ms, as
-	// published for the engines we serve; only the ratio to the other
-	// figures here matters.
-	prefillPerMs = 8
+	// PrefillPerMs is how many prompt tokens an engine reads in a ms, as
+	// published for the engines we serve.
+	PrefillPerMs = 8
 	// runningMs is what one more running stream costs a new one, in ms to
 	// its end: a step takes about 0.12 ms longer for each, over some 1,300
 	// steps of a mean answer.
@@ -58,7 +57,7 @@
 
 // Score is the expected delay in ms; lower is better.
 func (Engines) Score(c EngineCandidate, _ uint64) float64 {
-	s := float64(c.Prefill)/prefillPerMs + runningMs*float64(c.Running) + memoryMs*max(0, c.Memory-memoryFree) +
+	s := float64(c.Prefill)/PrefillPerMs + runningMs*float64(c.Running) + memoryMs*max(0, c.Memory-memoryFree) +
 		engineJitterMs*c.Jitter + 10*errorCostMs*c.Errors + zoneTroubleMs*c.Trouble
 	if !c.SameZone {
 		s += engineZoneMs
