--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -126,9 +126,12 @@
 			maxConns = svc.MaxConns()
 		}
 	}
-	old := s.targets.ByID(t.ID())
+	news := true
+	if m := s.targets.ByID(t.ID()); m != nil {
+		news = m.Target().Draining() != t.Draining()
+	}
 	s.targets.Put(t, maxConns)
-	if old == nil || old.Target().Draining() != t.Draining() {
+	if news {
 		s.log.Info().Str("target", t.ID()).Str("service", t.Service()).Str("address", t.Address()).Str("zone", t.Zone()).
 			Bool("draining", t.Draining()).Msg("discovery: target known")
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -106,6 +106,7 @@
 			return
 		}
 		if ctx.Err() != nil {
+			s.mayRun = true
 			s.outOfTime(ctx)
 			return
 		}
@@ -142,6 +143,9 @@
 	}
 	s.fails++
 	s.tried = append(s.tried, m)
+	if !errors.Is(err, upstream.ErrNotSent) {
+		s.mayRun = true
+	}
 	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
 		Int64("lastEvent", s.last).Bool("answered", r.answered).Int("events", r.events).Dur("ran", now.Sub(r.begun)).Dur("quiet", now.Sub(r.heard)).
 		Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
