Streams that cannot end in time are refused at once

Change: admit: prompt, queue and the shortest answer's events against what is left of the time; below it the call is refused, without a time to come back.

Kept for the callers, who are told at once.

--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/registry"
@@ -94,6 +95,10 @@
 // ended the stream.
 func (s *stream) run(ctx context.Context) {
 	defer func() { s.dropCopy() }()
+	if s.hopeless() {
+		s.refuse("cannot end in time", 0)
+		return
+	}
 	for {
 		m, from := s.next()
 		if m == nil {
@@ -118,6 +123,22 @@
 	}
 }
 
+// hopeless reports whether the stream cannot end before its caller leaves,
+// whichever engine takes it.
+func (s *stream) hopeless() bool {
+	now := clock.Now()
+	best := s.pickEngine(now, "")
+	if best == nil {
+		return false // refused for that, with a time to come back
+	}
+	stride := 0
+	if e := s.g.Service.Engine(); e != nil {
+		stride = e.Stride
+	}
+	return admit.Stream{Left: s.left(now), Prompt: s.c.Prompt, Backlog: best.Work().All().Prefill,
+		Output: s.c.Output, Stride: stride, After: s.last}.Hopeless()
+}
+
 // next chooses the target of the next run, and the copy it goes on from.
 func (s *stream) next() (m, from *registry.Member) {
 	now := clock.Now()
