--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,77 @@
+package exchange_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/exchange"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+const within = 2 * time.Second
+
+type node struct {
+	targets registry.Registry
+	ex      *exchange.Exchange
+	addr    string
+	stop    context.CancelFunc
+	srv     *httptest.Server
+}
+
+func start(t *testing.T, name string) *node {
+	n := &node{}
+	n.targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "i-1", Service: "llm", Address: "127.0.0.1:1"}), 0)
+	n.ex = exchange.New(name, &n.targets, zerolog.Nop())
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.ex.Run(ctx)
+	n.srv = httptest.NewServer(n.ex)
+	n.addr = strings.TrimPrefix(n.srv.URL, "http://")
+	t.Cleanup(func() { stop(); n.srv.CloseClientConnections(); n.srv.Close() })
+	time.Sleep(10 * time.Millisecond) // Run takes over its context
+	return n
+}
+
+// An instance knows of another's work within a few ms of its beginning, and
+// forgets it when it ends or when the other instance is gone.
+func TestViews(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	a.ex.Know(exchange.Peer{Node: "b", Addr: b.addr}, false)
+	a.ex.Know(exchange.Peer{Node: "a", Addr: a.addr}, false) // itself: no connection
+	work := a.targets.ByID("i-1").Work()
+	seen := b.targets.ByID("i-1").Work()
+
+	started, end := work.Begin(8000, 9000)
+	a.ex.Tell()
+	assert.Eventually(t, func() bool { return seen.All() == registry.Load{Prefill: 8000, Running: 1, Tokens: 9000} }, within, time.Millisecond)
+	assert.Equal(t, registry.Load{}, seen.Own())
+	started()
+	assert.Eventually(t, func() bool { return seen.All().Prefill == 0 && seen.All().Running == 1 }, within, time.Millisecond)
+
+	// A second call begins while the first runs; the instance then dies.
+	work.Begin(500, 600)
+	a.ex.Tell()
+	require.Eventually(t, func() bool { return seen.All().Running == 2 }, within, time.Millisecond)
+	end()
+	a.stop()
+	assert.Eventually(t, func() bool { return seen.All() == registry.Load{} }, 2*within, 5*time.Millisecond)
+}
+
+// A peer that comes back at another address is reached there.
+func TestPeerMoves(t *testing.T) {
+	a, b, c := start(t, "a"), start(t, "b"), start(t, "b")
+	a.targets.ByID("i-1").Work().Begin(10, 20)
+	a.ex.Know(exchange.Peer{Node: "b", Addr: b.addr}, false)
+	require.Eventually(t, func() bool { return b.targets.ByID("i-1").Work().All().Running == 1 }, within, time.Millisecond)
+	a.ex.Know(exchange.Peer{Node: "b", Addr: c.addr}, false)
+	assert.Eventually(t, func() bool { return c.targets.ByID("i-1").Work().All().Running == 1 }, within, time.Millisecond)
+	assert.Eventually(t, func() bool { return b.targets.ByID("i-1").Work().All().Running == 0 }, within, time.Millisecond)
+}
--- /dev/null
+++ b/ingress/model_test.go
@@ -0,0 +1,219 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/budget"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
+)
+
+const (
+	modelEvents  = 12
+	modelTargets = 6
+	maxTargets   = 4
+)
+
+// errBroken is how a model target's connection ends.
+var errBroken = errors.New("connection reset")
+
+// modelSender answers orders as a random choice of engines would: whole, cut
+// anywhere, late, refused, for another target, or with events that are not
+// the next ones.
+type modelSender struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	runs  int // orders that a target has begun to run
+	sends int // orders that reached a target
+}
+
+// Send answers one order.
+func (m *modelSender) Send(_ context.Context, o *Order) (*Reply, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fate := m.rng.IntN(10)
+	if fate == 0 {
+		return nil, fmt.Errorf("%w: refused", upstream.ErrNotSent)
+	}
+	m.sends++
+	switch fate {
+	case 1:
+		return &Reply{Status: http.StatusServiceUnavailable, NotRun: true, Header: http.Header{}, Body: body("")}, nil
+	case 2:
+		return &Reply{Status: http.StatusMisdirectedRequest, Elsewhere: true, Header: http.Header{}, Body: body("")}, nil
+	}
+	m.runs++
+	switch fate {
+	case 3:
+		return nil, fmt.Errorf("%w: reset", upstream.ErrSent)
+	case 4:
+		return &Reply{Status: http.StatusInternalServerError, Header: http.Header{}, Body: body("failed")}, nil
+	}
+	return &Reply{Status: http.StatusOK, Sized: true, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: m.stream(o)}, nil
+}
+
+// stream is a run's events: from after what the order says, or, when the
+// engine errs, from somewhere else; whole, or cut anywhere, also within an
+// event.
+func (m *modelSender) stream(o *Order) io.ReadCloser {
+	from, _ := strconv.Atoi(o.After) // empty: from the start
+	switch fault := m.rng.IntN(8); {
+	case fault == 0:
+		from = max(0, from-1-m.rng.IntN(3)) // events that the caller has
+	case fault == 1 && from > 0 && from < modelEvents-2: // an end without events could not be told from the true one
+		from += 1 + m.rng.IntN(2) // a gap
+	}
+	var b strings.Builder
+	for n := from + 1; n <= modelEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", n, o.Call.ID, n)
+	}
+	if m.rng.IntN(2) == 0 || b.Len() == 0 {
+		return body(b.String())
+	}
+	return io.NopCloser(io.MultiReader(strings.NewReader(b.String()[:m.rng.IntN(b.Len())]), failing{}))
+}
+
+func body(s string) io.ReadCloser { return io.NopCloser(strings.NewReader(s)) }
+
+type failing struct{}
+
+// Read fails as a reset connection does.
+func (failing) Read([]byte) (int, error) { return 0, errBroken }
+
+// modelHandler is a handler before targets that no connection reaches: all
+// orders go to the sender, and probes find nobody.
+func modelHandler(t testing.TB, s Sender, kind ragworthitch.CallKind) *Handler {
+	d, err := ragworthitch.NewDesiredState(ragworthitch.DesiredParams{Version: 1,
+		Services: []ragworthitch.Service{ragworthitch.NewService(ragworthitch.ServiceParams{Name: "llm",
+			Engine: &ragworthitch.Engine{Slots: 8, KVTokens: 80000, Backups: true, Stride: 10}})},
+		Routes: []ragworthitch.Route{ragworthitch.NewRoute(ragworthitch.RouteParams{Name: "r", Host: "h", Prefix: "/p/", Kind: kind,
+			Timeout: 5 * time.Second, Target: time.Second, MaxTargets: maxTargets, Resumable: true,
+			Shares: []ragworthitch.Share{{Service: "llm", Weight: 1}}})}})
+	require.NoError(t, err)
+	book := desired.NewBook(desired.Ages{Deny: time.Minute, Key: time.Minute})
+	book.Apply(d)
+	book.Proved(clock.Now())
+	var targets registry.Registry
+	for i := range modelTargets {
+		targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: fmt.Sprint("i-", i), Service: "llm",
+			Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: string(rune('a' + i%3)), Slots: 8}), 0)
+	}
+	return New(Config{Zone: "a", Book: book, Targets: &targets, Sender: s, Log: zerolog.Nop(),
+		Budget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Span: 10 * time.Second})})
+}
+
+// serve serves one call and says whether the answer was cut.
+func serve(h *Handler, c *Call) (w *httptest.ResponseRecorder, cut bool) {
+	w = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			if p != http.ErrAbortHandler {
+				panic(p)
+			}
+			cut = true
+		}
+	}()
+	h.Serve(context.Background(), w, c)
+	return w, cut
+}
+
+var eventForm = regexp.MustCompile(`^id: (\d+)\ndata: ([^/]+)/(\d+)\n\n`)
+
+// FuzzStream plays streams against engines that fail in every way at every
+// place. Whatever they do, the caller's events are numbered without a gap or
+// repeat, all of its own call, and an answer that is not cut is complete.
+func FuzzStream(f *testing.F) {
+	for seed := range uint64(300) {
+		f.Add(seed, uint8(seed%5))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, after uint8) {
+		s := &modelSender{rng: rand.New(rand.NewPCG(seed, 2))}
+		first := int(after) % modelEvents
+		c := &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x", Header: http.Header{}, Prompt: 10, Output: 100, Received: clock.Now()}
+		if first > 0 {
+			c.After = strconv.Itoa(first)
+		}
+		w, cut := serve(modelHandler(t, s, ragworthitch.CallStream), c)
+		checkStream(t, w, cut, first)
+		require.LessOrEqual(t, s.runs, maxTargets)
+		if w.Code == http.StatusServiceUnavailable && !cut {
+			require.Zero(t, s.runs, "refused as not run, though it ran")
+		}
+	})
+}
+
+func checkStream(t *testing.T, w *httptest.ResponseRecorder, cut bool, last int) {
+	if w.Code != http.StatusOK {
+		return
+	}
+	rest := w.Body.String()
+	for rest != "" {
+		m := eventForm.FindStringSubmatch(rest)
+		require.NotNil(t, m, "not a whole event: %q", rest)
+		id, _ := strconv.Atoi(m[1])
+		require.Equal(t, last+1, id, "events are not in order")
+		require.Equal(t, m[1], m[3])
+		require.Equal(t, "call", m[2])
+		last = id
+		rest = rest[len(m[0]):]
+	}
+	if !cut {
+		require.Equal(t, modelEvents, last, "the answer looks complete")
+	}
+}
+
+// FuzzUnsafe plays calls that may run once only: they never run twice, and
+// one that is refused as not run has not run.
+func FuzzUnsafe(f *testing.F) {
+	for seed := range uint64(300) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		s := &modelSender{rng: rand.New(rand.NewPCG(seed, 3))}
+		w, _ := serve(modelHandler(t, s, ragworthitch.CallUnsafe), &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x",
+			Header: http.Header{}, Received: clock.Now()})
+		require.LessOrEqual(t, s.runs, 1)
+		switch w.Code {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			require.Zero(t, s.runs, "refused as not run, though it ran")
+		}
+	})
+}
+
+// FuzzReadEvents splits any bytes: what is handed on is a prefix of them and
+// ends at the end of an event.
+func FuzzReadEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\nda"))
+	f.Add([]byte("\n\n\n\n"))
+	f.Add([]byte("weight-versions: 3\nid: 7\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var out []byte
+		err := readEvents(strings.NewReader(string(in)), func(e event) bool {
+			require.True(t, strings.HasSuffix(string(e.raw), "\n\n"))
+			out = append(out, e.raw...)
+			return true
+		})
+		require.True(t, strings.HasPrefix(string(in), string(out)))
+		if err == nil {
+			require.Equal(t, string(in), string(out), "bytes were dropped and the end looks whole")
+		}
+	})
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -102,7 +102,7 @@
 	for {
 		m, from := s.next()
 		if m == nil {
-			s.end(ctx, http.StatusServiceUnavailable, "no target", nil)
+			s.end(ctx, http.StatusBadGateway, "no target", nil)
 			return
 		}
 		r, err := s.attempt(ctx, m, from)
