--- /dev/null
+++ b/logs/bounded_test.go
@@ -0,0 +1,50 @@
+package logs
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// slowWriter takes no line until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	b       strings.Builder
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.Write(p)
+}
+
+func (w *slowWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.String()
+}
+
+// A reader that does not read never blocks who logs, and what was dropped is
+// counted in a line.
+func TestBoundedNeverBlocks(t *testing.T) {
+	slow := &slowWriter{release: make(chan struct{})}
+	out, flush := Bounded(slow)
+	begun := time.Now()
+	for i := range 5 * pendingLines {
+		fmt.Fprintf(out, "line %d\n", i)
+	}
+	require.Less(t, time.Since(begun), time.Second)
+	close(slow.release)
+	require.Eventually(t, func() bool { return strings.Contains(slow.String(), `"dropped":`) }, time.Second, time.Millisecond)
+	flush()
+	assert.Contains(t, slow.String(), "line 0\n")
+	assert.LessOrEqual(t, strings.Count(slow.String(), "line "), 2*linesPerSecond)
+	fmt.Fprintln(out, "after the end") // dropped, not a panic
+}
