--- a/cmd/ragworthitch/main.go
+++ b/cmd/ragworthitch/main.go
@@ -26,6 +26,7 @@
 	subcommands.Register(&serveCmd{}, "parts")
 	subcommands.Register(&loadCmd{}, "tools")
 	subcommands.Register(&settingsCmd{}, "tools")
+	subcommands.Register(&desiredCmd{}, "tools")
 	subcommands.Register(&timelineCmd{}, "tools")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/cmd/ragworthitch/script_test.go
+++ b/cmd/ragworthitch/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/rwtest"
 )
 
@@ -55,6 +57,8 @@
 			"signal": signalPart,
 			"ended":  ended,
 			"occupy": occupy,
+			"expand": expand,
+			"fetch":  fetch,
 		},
 		Setup: func(env *testscript.Env) error {
 			env.Values[backgroundsKey{}] = backgrounds{}
@@ -94,6 +98,7 @@
 		name := fmt.Sprintf("P%d", i)
 		cmd.Env = append(cmd.Env, name+"="+ts.Getenv(name))
 	}
+	cmd.Env = append(cmd.Env, platform.BootEnv+"="+ts.Getenv(platform.BootEnv))
 	ts.Check(cmd.Start())
 	f.Close()
 	b := &background{cmd: cmd, log: log, done: make(chan struct{})}
@@ -154,6 +159,28 @@
 	}
 }
 
+// fetch makes a GET request and checks its status: fetch URL STATUS.
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: fetch URL STATUS")
+	}
+	resp, err := http.Get(args[0])
+	ts.Check(err)
+	resp.Body.Close()
+	if fmt.Sprint(resp.StatusCode) != args[1] {
+		ts.Fatalf("%s: %s", args[0], resp.Status)
+	}
+}
+
+// expand replaces the script's variables in a file: expand FILE.
+func expand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: expand FILE")
+	}
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o644))
+}
+
 // occupy holds a port until the script ends: occupy PORT.
 func occupy(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 1 {
