--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -192,10 +193,10 @@
 	defer r.Close()
 	b, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
 	if err != nil {
-		return nil, errors.Join(upstream.ErrSent, err)
+		return nil, fmt.Errorf("%w: %w", upstream.ErrSent, err)
 	}
 	if len(b) > maxAnswer {
-		return nil, errors.Join(upstream.ErrSent, errTooLarge)
+		return nil, fmt.Errorf("%w: %w", upstream.ErrSent, errTooLarge)
 	}
 	return b, nil
 }
--- a/logs/story.go
+++ b/logs/story.go
@@ -9,8 +9,13 @@
 	"slices"
 	"sort"
 	"strings"
+	"time"
 )
 
+// lookBack is how long before a request's first line a belief may have
+// changed that decided it; what is older was in force for all.
+const lookBack = 10 * time.Second
+
 // beliefs are the prefixes of lines that change what a process believes; a
 // request's story holds those of the processes and targets it touched.
 var beliefs = []string{"health:", "discovery:", "desired:", "instance:"}
@@ -44,7 +49,7 @@
 	if len(own) == 0 {
 		return 0, nil
 	}
-	first, last := own[0].time, own[len(own)-1].time
+	first, last := before(own[0].time, lookBack), own[len(own)-1].time
 	bw := bufio.NewWriter(w)
 	for _, r := range all {
 		mine := r.request == request
@@ -60,6 +65,15 @@
 	return len(own), bw.Flush()
 }
 
+// before is the timestamp d earlier than at, or at if it cannot be read.
+func before(at string, d time.Duration) string {
+	t, err := time.Parse(TimeFormat, at)
+	if err != nil {
+		return at
+	}
+	return t.Add(-d).Format(TimeFormat)
+}
+
 func isBelief(message string) bool {
 	return slices.ContainsFunc(beliefs, func(p string) bool { return strings.HasPrefix(message, p) })
 }
--- /dev/null
+++ b/scripts/seeds.py
@@ -0,0 +1,17 @@
+#!/usr/bin/env python3
+"""Plays the days of testdata/seeds.yaml again: scripts/seeds.py BENCH SITES_FOLDER"""
+import os, re, subprocess, sys
+
+bench, sites = sys.argv[1:3]
+here = os.path.dirname(os.path.abspath(__file__))
+entries = re.findall(r"- site: (\S+)\n  day: (\S+)\n  seed: (\d+)", open(os.path.join(here, "..", "testdata", "seeds.yaml")).read())
+bad = 0
+for site, day, seed in entries:
+    extra = ["--seed", seed] if seed != "0" else []
+    out = subprocess.run([bench, "run", os.path.join(sites, site + ".toml"), day, *extra], capture_output=True, text=True).stdout
+    lines = out.splitlines()
+    line = next((lines[i + 1] for i, l in enumerate(lines[:-1]) if l.startswith("day ")), "NOT PLAYED")
+    bad += "BROKEN" in line or "NOT PLAYED" in line
+    print(site, line)
+print(f"{len(entries)} days, {bad} wrong")
+sys.exit(bad > 0)
