A leaving instance refuses new streams at once

Change: new streams are refused from the signal on, with 20 ms to come back elsewhere; what runs is cut 0.3 s before the end of the grace period instead of 0.7; a returned stream is hopeless only if its events alone take too long.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -33,11 +33,6 @@
 	leavingRetry = 20 * time.Millisecond
 )
 
-// streamsWhileLeaving is how long a leaving instance still takes new
-// streams. A stream takes 4 to 6 s and has to end within the 8 s that a
-// process is given to end.
-const streamsWhileLeaving = 1500 * time.Millisecond
-
 type (
 	// Handler serves calls. Make one with New.
 	Handler struct {
@@ -50,7 +45,7 @@
 		log     zerolog.Logger
 		stats   stats
 
-		leaving atomic.Int64 // clock.Time at which the instance began to leave
+		leaving atomic.Bool
 		active  atomic.Int64
 	}
 
@@ -76,12 +71,12 @@
 		send: cfg.Sender, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
-// Leave makes the handler ask callers to use other instances and, after a
-// while, refuse new streams.
-func (h *Handler) Leave() { h.leaving.CompareAndSwap(0, int64(clock.Now())) }
+// Leave makes the handler ask callers to use other instances, and refuse new
+// streams.
+func (h *Handler) Leave() { h.leaving.Store(true) }
 
 // Leaving reports whether Leave was called.
-func (h *Handler) Leaving() bool { return h.leaving.Load() != 0 }
+func (h *Handler) Leaving() bool { return h.leaving.Load() }
 
 // Active is the number of calls in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
@@ -112,7 +107,9 @@
 		j.plain(ctx)
 		return
 	}
-	if at := h.leaving.Load(); at != 0 && now.Sub(clock.Time(at)) > streamsWhileLeaving {
+	if h.Leaving() {
+		// A stream takes 5 to 7 s and would be cut at the end of the grace
+		// period; another instance can serve it whole.
 		j.refuse("leaving", leavingRetry)
 		return
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -131,11 +131,15 @@
 	if best == nil {
 		return false // refused for that, with a time to come back
 	}
+	prompt := s.c.Prompt
+	if s.c.After != "" {
+		prompt = 0 // its home may have it still
+	}
 	stride := 0
 	if e := s.g.Service.Engine(); e != nil {
 		stride = e.Stride
 	}
-	return admit.Stream{Left: s.left(now), Prompt: s.c.Prompt, Backlog: best.Work().All().Prefill,
+	return admit.Stream{Left: s.left(now), Prompt: prompt, Backlog: best.Work().All().Prefill,
 		Output: s.c.Output, Stride: stride, After: s.last}.Hopeless()
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -70,7 +70,7 @@
 	// period to end.
 	leaveSettle = 2500 * time.Millisecond
 	// leaveMargin is left of the grace period when the last streams are cut.
-	leaveMargin  = 700 * time.Millisecond
+	leaveMargin  = 300 * time.Millisecond
 	defaultGrace = 8 * time.Second
 )
 
