An instance that loses the store steers its callers away before keys cannot be judged

Change: not ready once the proof is older than 0.52 of the time within which keys have to be refused; answers then close the connection; a refusal for want of knowledge names a fortieth of the caller's patience. The wait for changes follows the bounds.

--- a/desired/book.go
+++ b/desired/book.go
@@ -96,12 +96,6 @@
 	return now.Sub(clock.Time(p)), true
 }
 
-// KeysFresh reports whether keys can be judged now.
-func (b *Book) KeysFresh(now clock.Time) bool {
-	age, ok := b.Age(now)
-	return ok && age <= b.ages.Key
-}
-
 // State is the state in force, or nil if none is known.
 func (b *Book) State() *ragworthitch.DesiredState {
 	if t := b.cur.Load(); t != nil {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -22,9 +22,13 @@
 // Retry-After of refusals, by cause. Each is spread by up to half of itself,
 // so that refused callers do not come back together.
 const (
-	// unknownRetry is sent while the state in force is not known: a read of
-	// the store takes some 10 ms once it answers.
-	unknownRetry = 300 * time.Millisecond
+	// unknownShare of the caller's patience is sent while the state in force
+	// is not known here: mostly it is known elsewhere, and the caller's next
+	// try goes there. A fortieth leaves a short call its time (100 ms of 4 s)
+	// and lets a patient one outwait the start of an instance.
+	unknownShare = 1.0 / 40
+	// unknownRetry is sent to callers that do not say how long they wait.
+	unknownRetry = 100 * time.Millisecond
 	// noTargetRetry is sent when no target can take the call: a target that
 	// failed is tried again after 500 ms.
 	noTargetRetry = 400 * time.Millisecond
@@ -42,6 +46,7 @@
 		budget  *budget.Budget
 		send    Sender
 		tell    func()
+		ready   func() bool
 		log     zerolog.Logger
 		stats   stats
 
@@ -56,7 +61,8 @@
 		Targets *registry.Registry
 		Budget  *budget.Budget
 		Sender  Sender
-		Tell    func() // has other instances told of this one's work; nil: nobody
+		Ready   func() bool // callers are served well here; nil: always
+		Tell    func()      // has other instances told of this one's work; nil: nobody
 		Log     zerolog.Logger
 		Scope   tally.Scope
 	}
@@ -67,7 +73,10 @@
 	if cfg.Tell == nil {
 		cfg.Tell = func() {}
 	}
-	return &Handler{tell: cfg.Tell, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, budget: cfg.Budget,
+	if cfg.Ready == nil {
+		cfg.Ready = func() bool { return true }
+	}
+	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, budget: cfg.Budget,
 		send: cfg.Sender, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
@@ -85,7 +94,8 @@
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.Leaving() {
+	if h.Leaving() || !h.ready() {
+		// The caller's next call goes to another instance.
 		w.Header().Set("Connection", "close")
 	}
 	now := clock.Now()
@@ -120,6 +130,9 @@
 // be judged now.
 func (h *Handler) deny(w http.ResponseWriter, c *Call, g desired.Grant, err error) {
 	status, retry := http.StatusServiceUnavailable, unknownRetry
+	if c.Patience > 0 {
+		retry = time.Duration(unknownShare * float64(c.Patience))
+	}
 	switch {
 	case errors.Is(err, desired.ErrNoRoute):
 		status, retry = http.StatusNotFound, 0
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -34,11 +34,18 @@
 	// of a proof; the rest is for the way of the answer and slow machines.
 	denyShare = 0.95
 	keyShare  = 0.8
+	// readyShare of the time within which a key has to be refused is the
+	// oldest proof with which an instance counts as ready: callers should
+	// be elsewhere before keys cannot be judged here. A proof is 1.7 s old
+	// at most while the store answers, 2.3 s while it is 90 times slower.
+	readyShare = 0.52
 
-	// desiredWait is how long a call waits for a new desired state. The
-	// proof is as old as the call, so keys are judged on proofs of twice
-	// this age at most.
-	desiredWait = 800 * time.Millisecond
+	// desiredWait is how long a call waits for a new desired state at most,
+	// and desiredShare the part of the time within which a key has to be
+	// refused. The proof is as old as the call, so keys are judged on proofs
+	// of twice this age.
+	desiredWait  = 800 * time.Millisecond
+	desiredShare = 0.16
 	// targetWait and targetGap pace the calls for targets' entries: every
 	// target writes every 1.2 s, so changes are taken in batches.
 	targetWait = 2 * time.Second
@@ -100,7 +107,7 @@
 	i.peers = exchange.New(boot.Node(), &i.targets, log)
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
-		Sender: platform.Sender{}, Tell: i.peers.Tell, Log: log, Scope: scope})
+		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
 	return i
 }
 
@@ -108,7 +115,8 @@
 
 // Ready reports whether the balancer should send callers here.
 func (i *Instance) Ready() bool {
-	return i.read.Load() && !i.handler.Leaving() && i.book.KeysFresh(clock.Now())
+	age, ok := i.book.Age(clock.Now())
+	return ok && age <= share(readyShare, i.boot.Bounds().Revoke) && i.read.Load() && !i.handler.Leaving()
 }
 
 // Run serves until ctx ends, and then until the calls in progress have ended
@@ -151,7 +159,7 @@
 func (i *Instance) follow(p *pool.ContextPool) {
 	states := &discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
 		Source: platform.DesiredTable{Store: i.store, Log: i.log}, Sink: discovery.BookSink{Book: i.book, Log: i.log},
-		Wait: desiredWait, Reread: reread}
+		Wait: min(desiredWait, share(desiredShare, i.boot.Bounds().Revoke)), Reread: reread}
 	entries := &discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
 		Source: platform.TargetTable{Store: i.store, Log: i.log},
 		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
