Tidy: runs of a stream in a file of their own, one Sleep, one reader of table cases, agent split

The pauses after which a silent target is probed and left now follow the route's own gap target (0.43 and 0.78 of it; the same 300 and 550 ms for 700).

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -4,12 +4,13 @@
 // the engines to streams that can still be served.
 package admit
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragworthitch/ragworthitch/route"
+)
 
 const (
-	// prefillPerMs is how many prompt tokens an engine reads in a ms, as
-	// published.
-	prefillPerMs = 8
 	// eventPace is the shortest time between two events of 10 tokens: a step
 	// of an engine that runs nothing else takes 2.6 ms a token.
 	eventPace = 27 * time.Millisecond
@@ -30,7 +31,7 @@
 
 // Needs is the shortest time in which the stream can end.
 func (s Stream) Needs() time.Duration {
-	read := time.Duration(float64(s.Backlog+s.Prompt) / prefillPerMs * float64(time.Millisecond))
+	read := time.Duration(float64(s.Backlog+s.Prompt) / route.PrefillPerMs * float64(time.Millisecond))
 	events := int64(1)
 	if s.Stride > 0 {
 		events = max(1, int64(shortOutput*float64(s.Output))/int64(s.Stride)-s.After)
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
 var testLimit = Limit{Ratio: 0.8, Extra: 150, Span: 10 * time.Second}
@@ -19,18 +18,16 @@
 	return clock.Time(100*time.Second) + clock.Time(s*float64(time.Second))
 }
 
-func TestBudget(t *testing.T) {
-	b, err := os.ReadFile("testdata/budget.yaml")
-	require.NoError(t, err)
-	var cases []struct {
-		Name  string
-		Steps []struct {
-			Calls, Spend, Granted int
-			At                    float64
-		}
+type budgetCase struct {
+	Name  string
+	Steps []struct {
+		Calls, Spend, Granted int
+		At                    float64
 	}
-	require.NoError(t, yaml.Unmarshal(b, &cases))
-	for _, tt := range cases {
+}
+
+func TestBudget(t *testing.T) {
+	for _, tt := range cases.Load[budgetCase](t, "testdata/budget.yaml") {
 		t.Run(tt.Name, func(t *testing.T) {
 			b := New(testLimit)
 			for i, s := range tt.Steps {
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -5,6 +5,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,4 +30,16 @@
 // Add is the point d after t.
 func (t Time) Add(d time.Duration) Time { return t + Time(d) }
 
+// Sleep lasts d, and reports false if ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 var start = time.Now()
--- a/desired/book_test.go
+++ b/desired/book_test.go
@@ -3,17 +3,16 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
 var testAges = Ages{Deny: 1900 * time.Millisecond, Key: 4 * time.Second}
@@ -58,11 +57,7 @@
 func at(s float64) clock.Time { return clock.Time(s * float64(time.Second)) }
 
 func TestJudge(t *testing.T) {
-	b, err := os.ReadFile("testdata/judge.yaml")
-	require.NoError(t, err)
-	var cases []judgeCase
-	require.NoError(t, yaml.Unmarshal(b, &cases))
-	for _, tt := range cases {
+	for _, tt := range cases.Load[judgeCase](t, "testdata/judge.yaml") {
 		t.Run(tt.Name, func(t *testing.T) {
 			book := NewBook(testAges)
 			for i, s := range tt.Steps {
--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -79,7 +79,7 @@
 			return nil
 		}
 		f.note(err, begun)
-		sleep(ctx, f.pause(err, clock.Now().Sub(begun)))
+		clock.Sleep(ctx, f.pause(err, clock.Now().Sub(begun)))
 	}
 	return nil
 }
@@ -141,15 +141,3 @@
 	d := min(firstBackoff<<min(f.fails-1, 6), maxBackoff)
 	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -135,7 +135,7 @@
 			e.log.Warn().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: peer given up")
 			return
 		}
-		wait(ctx, redialGap, nil)
+		clock.Sleep(ctx, redialGap)
 	}
 }
 
@@ -164,8 +164,8 @@
 				return true, err
 			}
 		}
-		wait(ctx, pace, nil)
-		wait(ctx, interval-pace, news)
+		clock.Sleep(ctx, pace)
+		waitNews(ctx, interval-pace, news)
 	}
 	return true, ctx.Err()
 }
@@ -225,8 +225,8 @@
 	}
 }
 
-// wait lasts d, or until news is closed.
-func wait(ctx context.Context, d time.Duration, news <-chan struct{}) {
+// waitNews lasts d, or until news is closed.
+func waitNews(ctx context.Context, d time.Duration, news <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -1,40 +1,36 @@
 package health
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
 func at(s float64) clock.Time {
 	return clock.Time(100*time.Second) + clock.Time(s*float64(time.Second))
 }
 
-func TestBelief(t *testing.T) {
-	b, err := os.ReadFile("testdata/belief.yaml")
-	require.NoError(t, err)
-	var cases []struct {
-		Name  string
-		Steps []struct {
-			At     float64
-			Failed bool
-			OK     int // answers
-			Bad    int // answers that were failures
-			Want   *struct {
-				Usable bool
-				Lately bool
-				Errors [2]float64
-			}
+type beliefCase struct {
+	Name  string
+	Steps []struct {
+		At     float64
+		Failed bool
+		OK     int // answers
+		Bad    int // answers that were failures
+		Want   *struct {
+			Usable bool
+			Lately bool
+			Errors [2]float64
 		}
 	}
-	require.NoError(t, yaml.Unmarshal(b, &cases))
-	for _, tt := range cases {
+}
+
+func TestBelief(t *testing.T) {
+	for _, tt := range cases.Load[beliefCase](t, "testdata/belief.yaml") {
 		t.Run(tt.Name, func(t *testing.T) {
 			var s State
 			for i, step := range tt.Steps {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -9,24 +9,12 @@
 
 	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/clock"
-	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
 const (
-	// probeAfter is the silence within a stream after which its target is
-	// asked for a connection: events come every 35 to 50 ms, and every 300
-	// ms while the engine reads a prompt beside it.
-	probeAfter = 300 * time.Millisecond
-	// moveAfter is the silence after which a stream moves though its target
-	// still takes connections. Callers expect pauses under 700 ms; going on
-	// from a copy takes some 50 ms.
-	moveAfter = 550 * time.Millisecond
-	// firstProbe is the same as probeAfter before the first event, which
-	// takes a second and more to come.
-	firstProbe = 600 * time.Millisecond
 	// A first event is late, so that the stream is sent to another target,
 	// at lateShare times the time it should take plus lateMargin: prompts
 	// are read one after the other at a known pace, and what waits there is
@@ -40,48 +28,23 @@
 	lateMarginLast = 3 * time.Second
 	// startTime is what a first event takes besides the reading of prompts.
 	startTime = 100 * time.Millisecond
-	// moveAnew is how long a stream without a copy may pause: longer than an
-	// engine stops for a prompt beside it, so that its answer is broken. If
-	// the engine's memory is short (above fullMemory) it may have been
-	// stopped to be read in again, which takes seconds; moving it then only
-	// adds a second reading.
-	moveAnew     = 1200 * time.Millisecond
-	moveAnewFull = 4 * time.Second
-	fullMemory   = 0.8
 
 	// usualOutput is the part of the most tokens asked for that an answer
 	// usually has.
 	usualOutput = 0.75
-
-	pendingEvents = 64 // events read ahead of a slow caller
-)
-
-var (
-	errLost   = errors.New("ingress: target lost")
-	errSilent = errors.New("ingress: target silent")
 )
 
-type (
-	// stream is a streamed call in progress, over all its runs.
-	stream struct {
-		*job
-		last     int64  // id of the last event passed on
-		begun    bool   // the caller has the head of the answer
-		copyAt   string // address that the run's memory is copied to
-		copied   bool   // the run has made events, so there is a copy to go on from
-		dropCopy func()
-		cutAt    clock.Time // when the run before ended; 0: there was none
-		fails    int
-	}
-
-	// news is what a run's reader reports: a head, an event or an end.
-	news struct {
-		reply *Reply
-		ev    event
-		err   error
-		end   bool
-	}
-)
+// stream is a streamed call in progress, over all its runs.
+type stream struct {
+	*job
+	last     int64  // id of the last event passed on
+	begun    bool   // the caller has the head of the answer
+	copyAt   string // address that the run's memory is copied to
+	copied   bool   // the run has made events, so there is a copy to go on from
+	dropCopy func()
+	cutAt    clock.Time // when the run before ended; 0: there was none
+	fails    int
+}
 
 func newStream(j *job) *stream {
 	s := &stream{job: j, dropCopy: func() {}}
@@ -218,7 +181,7 @@
 	s.h.tell()
 	defer done()
 	s.sends++
-	r := &run{s: s, m: m, from: from, begun: now, heard: now, firstBy: firstBy, started: started, news: make(chan news, pendingEvents)}
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, gap: s.gap(), firstBy: firstBy, started: started, news: make(chan news, pendingEvents)}
 	go r.read(ctx, o)
 	return r, r.watch(ctx)
 }
@@ -234,6 +197,14 @@
 	return time.Duration(share*float64(expected)) + margin
 }
 
+// gap is the longest pause between events that callers expect.
+func (s *stream) gap() time.Duration {
+	if g := s.g.Route.GapTarget(); g > 0 {
+		return g
+	}
+	return usualGap
+}
+
 // rank is the stream's place among others at a busy engine.
 func (s *stream) rank() Rank {
 	switch {
@@ -274,156 +245,6 @@
 	o.BackupAt = s.copyAt
 }
 
-// run is one sending of a stream to one target.
-type run struct {
-	s       *stream
-	m, from *registry.Member
-	begun   clock.Time
-	heard   clock.Time    // last sign of life of this run
-	firstBy time.Duration // after so long without an answer it is lost
-	started func()
-	news    chan news
-	probed  clock.Time // when its target was last asked for a connection
-	events  int
-	// answered: the answer's head has come. Engines send it when they begin
-	// to generate.
-	answered bool
-}
-
-// read sends the order and reports what comes back.
-func (r *run) read(ctx context.Context, o *Order) {
-	tell := func(n news) bool {
-		select {
-		case r.news <- n:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	}
-	reply, err := r.s.h.send.Send(ctx, o)
-	if err != nil {
-		tell(news{err: err, end: true})
-		return
-	}
-	defer reply.Body.Close()
-	if reply.Status != http.StatusOK {
-		body, err := readWhole(reply.Body)
-		tell(news{reply: reply, ev: event{raw: body}, err: err, end: true})
-		return
-	}
-	if !tell(news{reply: reply}) {
-		return
-	}
-	err = readEvents(reply.Body, func(e event) bool { return tell(news{ev: e}) })
-	tell(news{err: err, end: true})
-}
-
-// watch passes events on until the run ends, or its target falls silent.
-func (r *run) watch(ctx context.Context) error {
-	lost := r.m.Health().Lost()
-	timer := time.NewTimer(probeAfter)
-	defer timer.Stop()
-	var head *Reply
-	for {
-		select {
-		case n := <-r.news:
-			now := clock.Now()
-			r.heard = now
-			if n.reply != nil {
-				head = n.reply
-				r.answered = true
-			}
-			if n.end {
-				return r.ended(ctx, head, n)
-			}
-			if n.ev.raw != nil {
-				if err := r.pass(head, n.ev); err != nil {
-					return err
-				}
-			}
-		case <-lost:
-			return errLost
-		case <-timer.C:
-			quiet := clock.Now().Sub(r.heard)
-			if r.check(quiet) {
-				return errSilent
-			}
-			timer.Reset(r.nextCheck(quiet))
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// check looks at a run that has been quiet for so long, and reports whether
-// it has to move.
-func (r *run) check(quiet time.Duration) bool {
-	probe, move := probeAfter, moveAfter
-	switch {
-	case !r.answered && r.from == nil:
-		probe, move = firstProbe, r.firstBy
-	case r.s.copied && r.s.copyAt != "":
-	case memory(r.m.Work().All().Tokens, r.s.g.Service.Engine()) > fullMemory:
-		move = moveAnewFull
-	default:
-		move = moveAnew
-	}
-	if quiet >= move {
-		r.m.Health().Answered(clock.Now(), quiet, true)
-		return true
-	}
-	if quiet >= probe && clock.Now().Sub(r.probed) >= probe {
-		r.probed = clock.Now()
-		go r.s.probe(r.m, health.CauseSilent)
-	}
-	return false
-}
-
-// nextCheck is when a quiet run is to be looked at again.
-func (r *run) nextCheck(quiet time.Duration) time.Duration {
-	if quiet < probeAfter {
-		return probeAfter - quiet
-	}
-	return 50 * time.Millisecond
-}
-
-// pass hands one event to the caller.
-func (r *run) pass(head *Reply, e event) error {
-	s := r.s
-	if r.events == 0 {
-		r.started()
-	}
-	r.events++
-	s.copied = true
-	if e.id != 0 {
-		if e.id <= s.last {
-			return nil // the caller has it
-		}
-		if s.last != 0 && e.id != s.last+1 {
-			return errEventGap
-		}
-	}
-	if !s.begun {
-		passOn(s.w, head)
-		s.w.WriteHeader(head.Status)
-		s.begun = true
-		s.h.stats.firstEvent.Record(clock.Now().Sub(s.c.Received))
-	}
-	if _, err := s.w.Write(e.raw); err != nil {
-		return err
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return err
-	}
-	if e.id != 0 {
-		s.last = e.id
-	}
-	if s.cutAt != 0 {
-		s.resumed(r)
-	}
-	return nil
-}
-
 // resumed notes that the stream goes on.
 func (s *stream) resumed(r *run) {
 	gap := clock.Now().Sub(s.cutAt)
@@ -436,52 +257,3 @@
 	s.h.log.Info().Str("request", s.c.ID).Str("target", r.m.Target().ID()).Bool("fromCopy", r.from != nil).
 		Int64("event", s.last).Dur("gap", gap).Msg("resume: stream goes on")
 }
-
-// ended settles a run that has ended by itself.
-func (r *run) ended(ctx context.Context, head *Reply, n news) error {
-	s, now := r.s, clock.Now()
-	switch {
-	case n.err != nil && errors.Is(n.err, upstream.ErrNotSent):
-		s.sends--
-		if ctx.Err() == nil {
-			s.failed(r.m, health.CauseRefused, n.err)
-		}
-		return n.err
-	case n.err != nil:
-		s.mayRun = true
-		if ctx.Err() == nil {
-			s.suspect(r.m)
-		}
-		return n.err
-	case head.Elsewhere:
-		s.elsewhere(r.m)
-		return upstream.ErrNotSent
-	case head.NotRun:
-		r.m.Health().Answered(now, 0, true)
-		return upstream.ErrNotSent
-	case head.Status != http.StatusOK:
-		return r.answeredOtherwise(head, n.ev.raw)
-	}
-	s.mayRun = true
-	if !head.Sized && s.last == 0 {
-		return upstream.ErrSent
-	}
-	return nil
-}
-
-// answeredOtherwise settles an answer that is no stream: a failure may be
-// better elsewhere, the rest is passed on.
-func (r *run) answeredOtherwise(head *Reply, body []byte) error {
-	s := r.s
-	s.mayRun = true
-	r.m.Health().Answered(clock.Now(), 0, head.failure())
-	if s.begun {
-		return upstream.ErrSent
-	}
-	if head.failure() && s.g.Route.Idempotent() && s.sends < s.g.Route.MaxTargets() {
-		return upstream.ErrSent
-	}
-	s.log(head.Status, "target answered without a stream", nil)
-	s.write(&try{m: r.m, reply: head, body: body})
-	return nil
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -226,7 +226,7 @@
 			return nil
 		}
 		i.log.Warn().Err(err).Msg("instance: entry not written; tried again")
-		pause(ctx, announceTime)
+		clock.Sleep(ctx, announceTime)
 	}
 	return nil
 }
@@ -242,7 +242,7 @@
 	}
 	i.handler.Leave()
 	i.log.Info().Int("active", i.handler.Active()).Dur("grace", grace).Msg("instance: leaving")
-	if !pause(life, leaveSettle) {
+	if !clock.Sleep(life, leaveSettle) {
 		return
 	}
 	// From here on no call is taken: idle connections are closed, and those
@@ -252,15 +252,3 @@
 	err := i.front.Shutdown(ctx)
 	i.log.Info().Int("active", i.handler.Active()).Dur("after", clock.Now().Sub(begun)).AnErr("cut", err).Msg("instance: left")
 }
-
-// pause waits for d, and reports false if ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/route/engine_test.go
+++ b/route/engine_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"testing"
 
-	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
 // viewDelayMs is how late the other entries' sends are known.
@@ -48,11 +48,7 @@
 // TestLoads replays load patterns and bounds the longest queue, as a mean
 // over draws.
 func TestLoads(t *testing.T) {
-	b, err := os.ReadFile("testdata/loads.yaml")
-	require.NoError(t, err)
-	var cases []loadCase
-	require.NoError(t, yaml.Unmarshal(b, &cases))
-	for _, tt := range cases {
+	for _, tt := range cases.Load[loadCase](t, "testdata/loads.yaml") {
 		t.Run(tt.Name, func(t *testing.T) {
 			worst := 0.0
 			for seed := range uint64(draws) {
