--- a/ingress/job.go
+++ b/ingress/job.go
@@ -191,6 +191,14 @@
 	answer(j.w, status, 0)
 }
 
+// answered writes the line of a call that a target answered.
+func (j *job) answered(m *registry.Member, status int) {
+	j.h.stats.answered.Inc(1)
+	j.h.log.Info().Str("request", j.c.ID).Str("route", j.g.Route.Name()).Str("kind", j.g.Route.Kind().String()).
+		Str("org", j.g.Org).Int64("version", j.g.Version).Dur("proofAge", j.g.Age).Str("target", m.Target().ID()).
+		Int("sends", j.sends).Int("status", status).Dur("after", clock.Now().Sub(j.c.Received)).Msg("ingress: answered")
+}
+
 // log writes the line of a call that is not answered by a target's success.
 func (j *job) log(status int, cause string, err error) {
 	now := clock.Now()
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -125,7 +125,7 @@
 	if t.reply.failure() {
 		return false
 	}
-	j.h.stats.answered.Inc(1)
+	j.answered(t.m, t.reply.Status)
 	j.h.stats.plainTime.Record(clock.Now().Sub(j.c.Received))
 	j.write(&t)
 	return true
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -70,7 +70,7 @@
 		}
 		r, err := s.attempt(ctx, m, from)
 		if err == nil {
-			s.h.stats.answered.Inc(1)
+			s.answered(m, http.StatusOK)
 			return
 		}
 		if ctx.Err() != nil {
--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,11 +14,20 @@
 	// at some 300 bytes each they take 600 kB at most.
 	pendingLines = 2000
 	// linesPerSecond bounds the volume; a busy instance writes some 60
-	// lines a second, a failing one several times that.
+	// lines a second, a failing one several times that. Lines about what
+	// went well get usualLines of them, so that a failure finds room.
 	linesPerSecond = 500
+	usualLines     = 300
 	flushTime      = 200 * time.Millisecond
 )
 
+// usualLevel is how zerolog writes the level of a line that reports no
+// failure.
+var usualLevel = []byte(`"level":"info"`)
+
+// isUsual reports whether a line reports no failure.
+func isUsual(line []byte) bool { return bytes.Contains(line, usualLevel) }
+
 // bounded hands lines to one goroutine that writes them. A line that finds
 // no room, or is over the rate, is dropped and counted.
 type bounded struct {
@@ -65,7 +75,7 @@
 		b.second, b.sent = now, 0
 	}
 	b.sent++
-	if b.sent > linesPerSecond || b.lines == nil {
+	if b.sent > linesPerSecond || b.lines == nil || b.sent > usualLines && isUsual(line) {
 		b.dropped.Add(1)
 		return len(line), nil
 	}
--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -31,6 +31,29 @@
 	return w.b.String()
 }
 
+// Lines of failures still find room when the usual ones have used theirs.
+func TestFailuresFindRoom(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	close(w.release)
+	out, flush := Bounded(w)
+	for time.Now().Nanosecond() > int(700*time.Millisecond) {
+		time.Sleep(10 * time.Millisecond) // not across two seconds
+	}
+	for i := range 2 * linesPerSecond {
+		fmt.Fprintf(out, "{\"level\":\"info\",\"n\":%d}\n", i)
+		if i%100 == 99 {
+			fmt.Fprintf(out, "{\"level\":\"warn\",\"n\":%d}\n", i)
+		}
+	}
+	flush()
+	usual := strings.Count(w.String(), `"level":"info"`)
+	assert.LessOrEqual(t, usual, usualLines)
+	assert.GreaterOrEqual(t, usual, usualLines-10)
+	for _, n := range []int{99, 199, 299, 399} {
+		assert.Contains(t, w.String(), fmt.Sprintf(`{"level":"warn","n":%d}`, n))
+	}
+}
+
 // A reader that does not read never blocks who logs, and what was dropped is
 // counted in a line.
 func TestBoundedNeverBlocks(t *testing.T) {
