Views go to 24 instances at most, and only targets with work are looked at

Change: up to 25 instances everybody is told; beyond that the 24 of the own zone first that a hash of both names puts first. One timer an instance looks for changes; only targets with own work are looked at.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,8 +5,11 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +17,13 @@
 
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 const (
-	// interval is the time between two views on a connection while nothing
-	// new is sent to a target; a new call is told at once (Tell). Views that
+	// interval is how late the end of a call, or its first event, may be
+	// told; a new call is told at once (Tell). Views that
 	// are 50 ms late are worse than none when many calls come together: all
 	// instances then see the same engines free. At 5 to 10 ms the longest
 	// queue of 70 callers who return together is 10 to 20% shorter than
@@ -27,6 +31,11 @@
 	interval = 50 * time.Millisecond
 	// pace is the least time between two views on a connection.
 	pace = 4 * time.Millisecond
+	// maxPeers is how many instances are told. With all instances told of
+	// all, 100 took half of a core each for it and 300 all of it; up to 25
+	// instances everybody knows everything, beyond that each knows of those
+	// of its zone that it shares most targets with.
+	maxPeers = 24
 	// keepAlive is the longest time without a view; an instance that has
 	// said nothing for staleAfter is taken to have no work.
 	keepAlive  = 1 * time.Second
@@ -44,18 +53,21 @@
 	// Peer is another instance, as the table of instances names it.
 	Peer struct {
 		Node string
+		Zone string
 		Addr string // ip:port for views
 	}
 
 	// Exchange sends and takes views. Make one with New.
 	Exchange struct {
 		node    string
+		zone    string
 		targets *registry.Registry
 		log     zerolog.Logger
 
 		mu    sync.Mutex
 		ctx   context.Context
-		peers map[string]*link // by node
+		known map[string]Peer  // by node
+		peers map[string]*link // of those that are told
 		news  chan struct{}    // closed when there is something to tell at once
 	}
 
@@ -67,8 +79,8 @@
 )
 
 // New returns an exchange for the named instance.
-func New(node string, targets *registry.Registry, log zerolog.Logger) *Exchange {
-	return &Exchange{node: node, targets: targets, log: log, peers: map[string]*link{}, news: make(chan struct{})}
+func New(node, zone string, targets *registry.Registry, log zerolog.Logger) *Exchange {
+	return &Exchange{node: node, zone: zone, targets: targets, log: log, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
 }
 
 // Tell has the own view sent to all peers at once.
@@ -90,8 +102,15 @@
 func (e *Exchange) Run(ctx context.Context) error {
 	e.mu.Lock()
 	e.ctx = ctx
+	e.choose()
 	e.mu.Unlock()
-	<-ctx.Done()
+	edits := uint64(0)
+	for clock.Sleep(ctx, interval) {
+		if n := e.targets.Edits(); n != edits {
+			edits = n
+			e.Tell()
+		}
+	}
 	return nil
 }
 
@@ -99,22 +118,58 @@
 func (e *Exchange) Know(p Peer, gone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p.Node == e.node || e.ctx == nil {
+	if p.Node == e.node {
 		return
 	}
-	if l := e.peers[p.Node]; l != nil {
-		if !gone && l.addr == p.Addr {
-			return
-		}
-		l.stop()
-		delete(e.peers, p.Node)
-	}
 	if gone {
+		delete(e.known, p.Node)
+	} else {
+		e.known[p.Node] = p
+	}
+	e.choose()
+}
+
+// choose keeps links to the peers that are to be told; e.mu is held.
+func (e *Exchange) choose() {
+	if e.ctx == nil {
 		return
 	}
-	ctx, stop := context.WithCancel(e.ctx)
-	e.peers[p.Node] = &link{addr: p.Addr, stop: stop}
-	go e.tell(ctx, p)
+	told := e.nearest()
+	for node, l := range e.peers {
+		if p, ok := told[node]; !ok || p.Addr != l.addr {
+			l.stop()
+			delete(e.peers, node)
+		}
+	}
+	for node, p := range told {
+		if e.peers[node] == nil {
+			ctx, stop := context.WithCancel(e.ctx)
+			e.peers[node] = &link{addr: p.Addr, stop: stop}
+			go e.tell(ctx, p)
+		}
+	}
+}
+
+// nearest are the peers to be told: those of the own zone first, and of
+// these the ones that a hash of both names puts first, so that the choice
+// stays when others come or go.
+func (e *Exchange) nearest() map[string]Peer {
+	all := slices.Collect(maps.Values(e.known))
+	key := route.Key(e.node)
+	slices.SortFunc(all, func(a, b Peer) int {
+		if (a.Zone == e.zone) != (b.Zone == e.zone) {
+			if a.Zone == e.zone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(route.Affinity(key, b.Node), route.Affinity(key, a.Node))
+	})
+	out := map[string]Peer{}
+	for _, p := range all[:min(len(all), maxPeers)] {
+		out[p.Node] = p
+	}
+	return out
 }
 
 // tell keeps a peer told until ctx ends or the peer is lost.
@@ -127,11 +182,7 @@
 			e.log.Info().Str("peer", p.Node).Err(err).Msg("exchange: peer lost")
 		}
 		if clock.Now().Sub(up) > lostAfter {
-			e.mu.Lock()
-			if l := e.peers[p.Node]; l != nil && l.addr == p.Addr {
-				delete(e.peers, p.Node)
-			}
-			e.mu.Unlock()
+			e.giveUp(p)
 			e.log.Warn().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: peer given up")
 			return
 		}
@@ -139,6 +190,16 @@
 	}
 }
 
+// giveUp forgets a peer, unless it is known at another address by now.
+func (e *Exchange) giveUp(p Peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.known[p.Node] == p {
+		delete(e.known, p.Node)
+		e.choose()
+	}
+}
+
 // session connects and sends views until the connection fails; told says
 // that there was a connection.
 func (e *Exchange) session(ctx context.Context, p Peer) (told bool, err error) {
@@ -165,27 +226,31 @@
 			}
 		}
 		clock.Sleep(ctx, pace)
-		waitNews(ctx, interval-pace, news)
+		waitNews(ctx, keepAlive, news)
 	}
 	return true, ctx.Err()
 }
 
 // changes is the view of what differs from what was sent, and notes it as
-// sent.
+// sent. Only targets with work, now or in sent, are looked at.
 func (e *Exchange) changes(sent map[string]registry.Load) wire.View {
 	v := wire.View{Node: e.node}
-	known := map[string]bool{}
-	for _, m := range e.targets.All() {
-		id, l := m.Target().ID(), m.Work().Own()
-		known[id] = true
+	now := map[string]registry.Load{}
+	for _, m := range e.targets.Busy() {
+		now[m.Target().ID()] = m.Work().Own()
+	}
+	for id := range sent {
+		if _, ok := now[id]; !ok {
+			now[id] = registry.Load{}
+		}
+	}
+	for id, l := range now {
 		if l == sent[id] {
 			continue
 		}
-		sent[id] = l
 		v.Loads = append(v.Loads, wire.TargetLoad{Target: id, Prefill: l.Prefill, Running: l.Running, Tokens: l.Tokens})
-	}
-	for id := range sent {
-		if !known[id] {
+		sent[id] = l
+		if l == (registry.Load{}) {
 			delete(sent, id)
 		}
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -29,7 +29,7 @@
 func start(t *testing.T, name string) *node {
 	n := &node{}
 	n.targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "i-1", Service: "llm", Address: "127.0.0.1:1"}), 0)
-	n.ex = exchange.New(name, &n.targets, zerolog.Nop())
+	n.ex = exchange.New(name, "ate", &n.targets, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go n.ex.Run(ctx)
--- /dev/null
+++ b/exchange/internal_test.go
@@ -0,0 +1,76 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+// Of many instances a bounded number is told, those of the own zone first,
+// and the choice stays when others come.
+func TestNearest(t *testing.T) {
+	e := New("n-0", "ate", &registry.Registry{}, zerolog.Nop())
+	add := func(from, to int) {
+		for i := from; i < to; i++ {
+			zone := []string{"ate", "callao", "lurin"}[i%3]
+			e.known[fmt.Sprint("n-", i)] = Peer{Node: fmt.Sprint("n-", i), Zone: zone, Addr: "127.0.0.1:1"}
+		}
+	}
+	add(1, 20)
+	require.Len(t, e.nearest(), 19, "a small deployment tells everybody")
+	add(20, 60)
+	before := e.nearest()
+	require.Len(t, before, maxPeers)
+	own := 0
+	for _, p := range before {
+		if p.Zone == "ate" {
+			own++
+		}
+	}
+	assert.Equal(t, 19, own, "all of the own zone")
+	add(60, 63)
+	kept := 0
+	for node := range e.nearest() {
+		if _, ok := before[node]; ok {
+			kept++
+		}
+	}
+	assert.GreaterOrEqual(t, kept, maxPeers-3)
+}
+
+// BenchmarkView measures what one changed call costs a connection: the look
+// through all targets and the frame, with its size.
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{24, 740} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			var targets registry.Registry
+			for i := range n {
+				targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: fmt.Sprintf("i-%010d", i), Service: "llm", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)}), 0)
+			}
+			e := New("front-ate-1", "ate", &targets, zerolog.Nop())
+			sent := map[string]registry.Load{}
+			e.changes(sent)
+			work := targets.All()[0].Work()
+			size, calls := 0, 0
+			for b.Loop() {
+				calls++
+				started, end := work.Begin(8000+calls, 9000)
+				frame, err := wire.EncodeView(e.changes(sent))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(frame)
+				started()
+				end()
+			}
+			b.ReportMetric(float64(size), "frame-bytes")
+		})
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -104,7 +104,7 @@
 	b := boot.Bounds()
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics,
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
-	i.peers = exchange.New(boot.Node(), &i.targets, log)
+	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, log)
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
 		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
@@ -217,7 +217,7 @@
 
 // announce writes this instance's entry.
 func (i *Instance) announce(ctx context.Context, table platform.PeerTable) error {
-	me := exchange.Peer{Node: i.boot.Node(), Addr: i.boot.Internal()}
+	me := exchange.Peer{Node: i.boot.Node(), Zone: i.boot.Zone(), Addr: i.boot.Internal()}
 	for ctx.Err() == nil {
 		actx, cancel := context.WithTimeout(ctx, announceTime)
 		err := table.Announce(actx, me)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -27,6 +28,10 @@
 		byAddr   map[string]*Member // the newest at each address
 		services map[string][]*Member
 		refused  map[string]bool // ids whose address answered for another target
+
+		busyMu sync.Mutex
+		busy   map[*Member]bool // targets with own work
+		edits  atomic.Uint64    // changes of own work at any target
 	}
 
 	// Member is one known target.
@@ -82,6 +87,7 @@
 	m := r.byID[t.ID()]
 	if m == nil {
 		m = &Member{conns: upstream.NewPool(t.Address(), int(connShare*float64(maxConns))), target: t}
+		m.work.note = func(busy bool) { r.noteWork(m, busy) }
 		if old := r.byAddr[t.Address()]; old != nil {
 			r.refused[old.target.ID()] = true
 			r.forget(old)
@@ -175,6 +181,36 @@
 	return r.byAddr[addr]
 }
 
+// noteWork notes a change of own work at m.
+func (r *Registry) noteWork(m *Member, busy bool) {
+	r.busyMu.Lock()
+	defer r.busyMu.Unlock()
+	if r.busy == nil {
+		r.busy = map[*Member]bool{}
+	}
+	if busy {
+		r.busy[m] = true
+	} else {
+		delete(r.busy, m)
+	}
+	r.edits.Add(1)
+}
+
+// Busy are the targets with work of this instance.
+func (r *Registry) Busy() []*Member {
+	r.busyMu.Lock()
+	defer r.busyMu.Unlock()
+	out := make([]*Member, 0, len(r.busy))
+	for m := range r.busy {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Edits counts the changes of this instance's own work at all targets: while
+// it stands still, so does the work.
+func (r *Registry) Edits() uint64 { return r.edits.Load() }
+
 // IDs are the ids of all known targets.
 func (r *Registry) IDs() []string {
 	r.mu.RLock()
--- a/registry/work.go
+++ b/registry/work.go
@@ -1,6 +1,8 @@
 package registry
 
-import "sync"
+import (
+	"sync"
+)
 
 type (
 	// Load is work at a target.
@@ -17,6 +19,7 @@
 		mu     sync.Mutex
 		own    Load
 		others map[string]Load // by instance
+		note   func(busy bool) // told of every change of own work; may be nil
 	}
 )
 
@@ -47,8 +50,12 @@
 
 func (w *Work) change(by Load) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.own = w.own.add(by)
+	busy := w.own != Load{}
+	w.mu.Unlock()
+	if w.note != nil {
+		w.note(busy)
+	}
 }
 
 // Own is this instance's work.
--- a/route/engine_test.go
+++ b/route/engine_test.go
@@ -151,3 +151,24 @@
 	}
 	assert.Equal(t, make([]float64, 6), Homes("", addrs))
 }
+
+// BenchmarkEngines measures the choice of an engine, homes included, at
+// today's number of engines and at that of the largest size planned for.
+func BenchmarkEngines(b *testing.B) {
+	for _, n := range []int{24, 740} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			addrs := make([]string, n)
+			cands := make([]EngineCandidate, n)
+			for i := range n {
+				addrs[i] = fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250)
+			}
+			for b.Loop() {
+				homes := Homes("5c1e07a2", addrs)
+				for i := range cands {
+					cands[i] = EngineCandidate{Takes: true, Prefill: i * 100, Home: homes[i]}
+				}
+				Pick(cands, Engines{}, 0)
+			}
+		})
+	}
+}
