--- a/cmd/ragworthitch/serve.go
+++ b/cmd/ragworthitch/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
+	"github.com/samber/oops"
 
 	"github.com/ragworthitch/ragworthitch/instance"
 	"github.com/ragworthitch/ragworthitch/logs"
@@ -28,7 +29,7 @@
 func (c *serveCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	boot, err := platform.LoadBoot()
 	if err != nil {
-		return fail(err)
+		return fail(oops.In("serve").With("file", os.Getenv(platform.BootEnv)).Wrap(err))
 	}
 	w, flush := logs.Bounded(os.Stdout)
 	defer flush()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
+	"github.com/samber/oops"
 	"github.com/sourcegraph/conc/pool"
 	"github.com/uber-go/tally/v4"
 
@@ -122,11 +123,11 @@
 // Run serves until ctx ends, and then until the calls in progress have ended
 // or the grace period is nearly over.
 func (i *Instance) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", i.boot.Front())
+	front, err := listen("front", i.boot.Front())
 	if err != nil {
 		return err
 	}
-	ready, err := net.Listen("tcp", i.boot.Ready())
+	ready, err := listen("ready", i.boot.Ready())
 	if err != nil {
 		front.Close()
 		return err
@@ -155,6 +156,15 @@
 	return nil
 }
 
+// listen opens the port for one of the instance's audiences.
+func listen(what, addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, oops.In("instance").With("audience", what, "address", addr).Wrapf(err, "listen for %s", what)
+	}
+	return ln, nil
+}
+
 // follow keeps the desired state and the targets up to date.
 func (i *Instance) follow(p *pool.ContextPool) {
 	states := &discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
@@ -196,7 +206,7 @@
 	if i.boot.Internal() == "" {
 		return
 	}
-	ln, err := net.Listen("tcp", i.boot.Internal())
+	ln, err := listen("other instances", i.boot.Internal())
 	if err != nil {
 		i.log.Warn().Err(err).Msg("instance: no internal address; neither metrics nor views are served")
 		return
