--- a/instance/instance.go
+++ b/instance/instance.go
@@ -51,9 +51,11 @@
 	// target writes every 1.2 s, so changes are taken in batches.
 	targetWait = 2 * time.Second
 	targetGap  = 400 * time.Millisecond
-	// reread is how often a table is read whole, against changes lost
-	// without notice.
-	reread = 10 * time.Second
+	// reread is how often the desired state is read whole, against changes
+	// lost without notice, and rereadTargets the list of targets, which is
+	// 200 bytes for each of them.
+	reread        = 10 * time.Second
+	rereadTargets = 30 * time.Second
 
 	// heapShare of the memory limit is what the collector lets the heap
 	// grow to before it works harder.
@@ -173,7 +175,7 @@
 	entries := &discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
 		Source: platform.TargetTable{Store: i.store, Log: i.log},
 		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
-		Wait:   targetWait, Gap: targetGap, Reread: reread}
+		Wait:   targetWait, Gap: targetGap, Reread: rereadTargets}
 	p.Go(states.Run)
 	p.Go(entries.Run)
 }
