A returned stream goes to the engine that had its prompt

Cause: callers whose connection to an entry broke come back within moments, and their prompt was read again (a second) in 6 of 10 cases, though an engine still held it; the pause made them late.

Homes by hashing remain where nothing is remembered.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/wire"
@@ -62,6 +63,7 @@
 		node    string
 		zone    string
 		targets *registry.Registry
+		recall  *recall.Recall
 		log     zerolog.Logger
 
 		mu    sync.Mutex
@@ -79,8 +81,8 @@
 )
 
 // New returns an exchange for the named instance.
-func New(node, zone string, targets *registry.Registry, log zerolog.Logger) *Exchange {
-	return &Exchange{node: node, zone: zone, targets: targets, log: log, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
+func New(node, zone string, targets *registry.Registry, places *recall.Recall, log zerolog.Logger) *Exchange {
+	return &Exchange{node: node, zone: zone, targets: targets, recall: places, log: log, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
 }
 
 // Tell has the own view sent to all peers at once.
@@ -213,10 +215,12 @@
 	e.log.Info().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: peer reached")
 	sent := map[string]registry.Load{}
 	var last clock.Time
+	var noted uint64
 	for ctx.Err() == nil {
 		news := e.told()
 		v := e.changes(sent)
-		if now := clock.Now(); len(v.Loads) > 0 || now.Sub(last) >= keepAlive {
+		v.Places, noted = e.places(noted)
+		if now := clock.Now(); len(v.Loads) > 0 || len(v.Places) > 0 || now.Sub(last) >= keepAlive {
 			last = now
 			sctx, cancel := context.WithTimeout(ctx, sendTime)
 			err := c.SendView(sctx, v)
@@ -257,6 +261,16 @@
 	return v
 }
 
+// places are the prompts that this instance has had read since the first n.
+func (e *Exchange) places(n uint64) ([]wire.Place, uint64) {
+	fresh, total := e.recall.Since(n)
+	out := make([]wire.Place, 0, len(fresh))
+	for _, p := range fresh {
+		out = append(out, wire.Place{Subject: p.Subject, Addr: p.Addr})
+	}
+	return out, total
+}
+
 // ServeHTTP takes a peer's views until its connection ends.
 func (e *Exchange) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := wire.AcceptView(w, r)
@@ -283,6 +297,10 @@
 }
 
 func (e *Exchange) take(v wire.View) {
+	now := clock.Now()
+	for _, p := range v.Places {
+		e.recall.Heard(recall.Place{Subject: p.Subject, Addr: p.Addr}, now)
+	}
 	for _, l := range v.Loads {
 		if m := e.targets.ByID(l.Target); m != nil {
 			m.Work().SetOther(v.Node, registry.Load{Prefill: l.Prefill, Running: l.Running, Tokens: l.Tokens})
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -12,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/exchange"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
 
@@ -20,6 +22,7 @@
 
 type node struct {
 	targets registry.Registry
+	places  recall.Recall
 	ex      *exchange.Exchange
 	addr    string
 	stop    context.CancelFunc
@@ -29,7 +32,7 @@
 func start(t *testing.T, name string) *node {
 	n := &node{}
 	n.targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "i-1", Service: "llm", Address: "127.0.0.1:1"}), 0)
-	n.ex = exchange.New(name, "ate", &n.targets, zerolog.Nop())
+	n.ex = exchange.New(name, "ate", &n.targets, &n.places, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go n.ex.Run(ctx)
@@ -50,7 +53,9 @@
 	seen := b.targets.ByID("i-1").Work()
 
 	started, end := work.Begin(8000, 9000)
+	a.places.Note(recall.Place{Subject: "5c1e", Addr: "10.0.0.1:80"}, clock.Now())
 	a.ex.Tell()
+	assert.Eventually(t, func() bool { return b.places.Where("5c1e", clock.Now()) == "10.0.0.1:80" }, within, time.Millisecond)
 	assert.Eventually(t, func() bool { return seen.All() == registry.Load{Prefill: 8000, Running: 1, Tokens: 9000} }, within, time.Millisecond)
 	assert.Equal(t, registry.Load{}, seen.Own())
 	started()
--- a/exchange/internal_test.go
+++ b/exchange/internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -16,7 +17,7 @@
 // Of many instances a bounded number is told, those of the own zone first,
 // and the choice stays when others come.
 func TestNearest(t *testing.T) {
-	e := New("n-0", "ate", &registry.Registry{}, zerolog.Nop())
+	e := New("n-0", "ate", &registry.Registry{}, &recall.Recall{}, zerolog.Nop())
 	add := func(from, to int) {
 		for i := from; i < to; i++ {
 			zone := []string{"ate", "callao", "lurin"}[i%3]
@@ -54,7 +55,7 @@
 			for i := range n {
 				targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: fmt.Sprintf("i-%010d", i), Service: "llm", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)}), 0)
 			}
-			e := New("front-ate-1", "ate", &targets, zerolog.Nop())
+			e := New("front-ate-1", "ate", &targets, &recall.Recall{}, zerolog.Nop())
 			sent := map[string]registry.Load{}
 			e.changes(sent)
 			work := targets.All()[0].Work()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -16,6 +16,7 @@
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
 
@@ -43,6 +44,7 @@
 		zone    string
 		book    *desired.Book
 		targets *registry.Registry
+		recall  *recall.Recall
 		budget  *budget.Budget
 		send    Sender
 		tell    func()
@@ -59,6 +61,7 @@
 		Zone    string
 		Book    *desired.Book
 		Targets *registry.Registry
+		Recall  *recall.Recall
 		Budget  *budget.Budget
 		Sender  Sender
 		Ready   func() bool // callers are served well here; nil: always
@@ -76,7 +79,7 @@
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
-	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, budget: cfg.Budget,
+	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
 		send: cfg.Sender, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -73,7 +73,7 @@
 func (j *job) pickEngine(now clock.Time, notZone string, bar ...*registry.Member) *registry.Member {
 	ms := j.h.targets.Service(j.service())
 	trouble := zoneTrouble(ms, now)
-	homes := route.Homes(j.c.Subject, addresses(ms))
+	homes := j.homes(ms, now)
 	cands := make([]route.EngineCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
@@ -89,6 +89,18 @@
 	return nil
 }
 
+// homes says how much each engine is at home for the call: where its prompt
+// was read last, if that is remembered, else by hashing.
+func (j *job) homes(ms []*registry.Member, now clock.Time) []float64 {
+	addrs := addresses(ms)
+	if i := slices.Index(addrs, j.h.recall.Where(j.c.Subject, now)); i >= 0 {
+		out := make([]float64, len(ms))
+		out[i] = 1
+		return out
+	}
+	return route.Homes(j.c.Subject, addrs)
+}
+
 func addresses(ms []*registry.Member) []string {
 	out := make([]string, len(ms))
 	for i, m := range ms {
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -22,6 +22,7 @@
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
@@ -116,7 +117,7 @@
 		targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: fmt.Sprint("i-", i), Service: "llm",
 			Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: string(rune('a' + i%3)), Slots: 8}), 0)
 	}
-	return New(Config{Zone: "a", Book: book, Targets: &targets, Sender: s, Log: zerolog.Nop(),
+	return New(Config{Zone: "a", Book: book, Targets: &targets, Recall: &recall.Recall{}, Sender: s, Log: zerolog.Nop(),
 		Budget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Span: 10 * time.Second})})
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/upstream"
@@ -178,6 +179,7 @@
 	s.logSend(m, from, o)
 	firstBy := s.firstBy(m, prompt)
 	started, done := m.Work().Begin(prompt, s.size())
+	s.h.recall.Note(recall.Place{Subject: s.c.Subject, Addr: m.Target().Address()}, now)
 	s.h.tell()
 	defer done()
 	s.sends++
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -91,6 +92,7 @@
 	store   *platform.Store
 	book    *desired.Book
 	targets registry.Registry
+	recall  recall.Recall
 	handler *ingress.Handler
 	peers   *exchange.Exchange
 	front   *http.Server
@@ -107,8 +109,8 @@
 	b := boot.Bounds()
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics,
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
-	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, log)
-	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets,
+	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, log)
+	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
 		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
 	return i
--- a/wire/view.go
+++ b/wire/view.go
@@ -20,8 +20,15 @@
 	// has changed since its last view on the same connection. One message a
 	// frame, nothing is answered.
 	View struct {
-		Node  string
-		Loads []TargetLoad
+		Node   string
+		Loads  []TargetLoad
+		Places []Place
+	}
+
+	// Place says at which engine the instance has had a prompt read.
+	Place struct {
+		Subject string // the last part of the prompt
+		Addr    string // of the engine
 	}
 
 	// TargetLoad is one instance's work at one target; all zero when it has
@@ -34,8 +41,15 @@
 	}
 
 	viewFrame struct {
-		N string      `cbor:"1,keyasint"`
-		L []loadFrame `cbor:"2,keyasint,omitempty"`
+		N string       `cbor:"1,keyasint"`
+		L []loadFrame  `cbor:"2,keyasint,omitempty"`
+		P []placeFrame `cbor:"3,keyasint,omitempty"`
+	}
+
+	placeFrame struct {
+		_ struct{} `cbor:",toarray"`
+		S string
+		A string
 	}
 
 	loadFrame struct {
@@ -53,6 +67,9 @@
 	for _, l := range v.Loads {
 		f.L = append(f.L, loadFrame{T: l.Target, P: l.Prefill, R: l.Running, K: l.Tokens})
 	}
+	for _, p := range v.Places {
+		f.P = append(f.P, placeFrame{S: p.Subject, A: p.Addr})
+	}
 	return cbor.Marshal(f)
 }
 
@@ -66,6 +83,9 @@
 	for _, l := range f.L {
 		v.Loads = append(v.Loads, TargetLoad{Target: l.T, Prefill: l.P, Running: l.R, Tokens: l.K})
 	}
+	for _, p := range f.P {
+		v.Places = append(v.Places, Place{Subject: p.S, Addr: p.A})
+	}
 	return v, nil
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -91,7 +91,7 @@
 func TestViewRoundTrip(t *testing.T) {
 	for _, v := range []View{
 		{Node: "a"},
-		{Node: "a", Loads: []TargetLoad{{Target: "i-1", Prefill: 8200, Running: 3, Tokens: 27000}, {Target: "i-2"}}},
+		{Node: "a", Loads: []TargetLoad{{Target: "i-1", Prefill: 8200, Running: 3, Tokens: 27000}, {Target: "i-2"}}, Places: []Place{{Subject: "5c1e", Addr: "10.0.0.1:80"}}},
 	} {
 		b, err := EncodeView(v)
 		require.NoError(t, err)
