A stream that cannot go on elsewhere is waited for

Cause (read in review): a stream of a route that is not resumable, or with no target left to be asked, was given up after 1 s without its first event or 1.2 s of silence, with 502: its target's silence ended an answer that would have come.

Change: silence and beliefs move a stream only where it may go on.

--- a/ingress/events.go
+++ b/ingress/events.go
@@ -18,7 +18,7 @@
 
 var (
 	errEventGap = errors.New("ingress: the stream goes on after a gap")
-	eventEnd    = []byte("\n\n")
+	eventEnds   = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 	idField     = []byte("id:")
 )
 
@@ -46,9 +46,14 @@
 
 // splitEvents is a bufio.SplitFunc: an event ends with an empty line.
 func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
-	if i := bytes.Index(data, eventEnd); i >= 0 {
-		n := i + len(eventEnd)
-		return n, data[:n], nil
+	end := 0
+	for _, e := range eventEnds {
+		if i := bytes.Index(data, e); i >= 0 && (end == 0 || i+len(e) < end) {
+			end = i + len(e)
+		}
+	}
+	if end > 0 {
+		return end, data[:end], nil
 	}
 	if atEOF && len(data) > 0 {
 		return 0, nil, io.ErrUnexpectedEOF
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -29,8 +29,9 @@
 	minHedge = 40 * time.Millisecond
 	// maxAnswer bounds a buffered answer; plain services answer in a few kB.
 	maxAnswer = 8 << 20
-	// hungShare is the part of the time an answer is of use after which a
-	// target that has sent nothing counts as failing.
+	// hungAfter is how long a target that has sent nothing may have had a
+	// call that was given up before that counts against it: some 10 times a
+	// plain service's work.
 	hungAfter = 400 * time.Millisecond
 )
 
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -54,6 +54,7 @@
 		started func()        // to be called at the first event
 		news    chan news
 		events  int
+		fresh   int // numbered events that the caller did not have yet
 		// answered: the answer's head has come. Engines send it when they
 		// begin to generate.
 		answered bool
@@ -106,6 +107,10 @@
 	lost := r.m.Health().Lost()
 	timer := time.NewTimer(r.probeAfter())
 	defer timer.Stop()
+	if !r.movable() {
+		lost = nil
+		timer.Stop()
+	}
 	var head *Reply
 	for {
 		select {
@@ -138,6 +143,12 @@
 	}
 }
 
+// movable reports whether the stream may go on at another target; one that
+// may not is waited for, whatever is believed of its target.
+func (r *run) movable() bool {
+	return r.s.g.Route.Idempotent() && r.s.sends < r.s.g.Route.MaxTargets()
+}
+
 // check looks at a run that has been quiet for so long, and reports whether
 // it has to move.
 func (r *run) check(quiet time.Duration) bool {
@@ -186,9 +197,10 @@
 		if e.id <= s.last {
 			return nil // the caller has it
 		}
-		if s.last != 0 && e.id != s.last+1 {
+		if !s.follows(e.id, r.fresh == 0) {
 			return errEventGap
 		}
+		r.fresh++
 	}
 	if !s.begun {
 		s.begin(head)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -39,6 +39,7 @@
 type stream struct {
 	*job
 	last     int64  // id of the last event passed on
+	step     int64  // by which ids rise; 0: not known yet, 1 is taken
 	begun    bool   // the caller has the head of the answer
 	copyAt   string // address that the run's memory is copied to
 	copied   bool   // the run has made events, so there is a copy to go on from
@@ -245,6 +246,21 @@
 	o.BackupAt = s.copyAt
 }
 
+// follows reports whether an event with this id comes right after the last
+// one passed on, first in its run or not. Within a run events follow each
+// other; a run that goes on has to begin where the last one ended, by the
+// step that ids rise by.
+func (s *stream) follows(id int64, first bool) bool {
+	if s.last == 0 {
+		return true
+	}
+	if !first {
+		s.step = id - s.last
+		return true
+	}
+	return id == s.last+max(s.step, 1)
+}
+
 // begin passes the head of the first run's answer on.
 func (s *stream) begin(head *Reply) {
 	passOn(s.w, head)
