An instance that stood still does not blame its targets

Change: a timer that fires over 0.25 s later than planned, on the clock that counts suspension, starts the silence anew; a probe that took that long says nothing.

--- a/ingress/job.go
+++ b/ingress/job.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
+	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
 // job is one call in progress.
@@ -164,7 +165,9 @@
 		return
 	}
 	defer m.Health().EndProbe()
-	if err := m.Conns().Probe(context.Background()); err != nil {
+	begun := clock.Now()
+	err := m.Conns().Probe(context.Background())
+	if err != nil && !overslept(upstream.DialTimeout, clock.Now().Sub(begun)) {
 		j.failed(m, cause, err)
 	}
 }
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -35,6 +35,8 @@
 	moveAnew     = 1200 * time.Millisecond
 	moveAnewFull = 4 * time.Second
 	fullMemory   = 0.8
+	// maxLate is how late a timer may fire on a busy machine.
+	maxLate = 250 * time.Millisecond
 	// checkEvery is the time between two looks at a silent run.
 	checkEvery = 50 * time.Millisecond
 
@@ -105,7 +107,8 @@
 // watch passes events on until the run ends, or its target falls silent.
 func (r *run) watch(ctx context.Context) error {
 	lost := r.m.Health().Lost()
-	timer := time.NewTimer(r.probeAfter())
+	wait, set := r.probeAfter(), clock.Now()
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	if !r.movable() {
 		lost = nil
@@ -132,17 +135,28 @@
 		case <-lost:
 			return errLost
 		case <-timer.C:
-			quiet := clock.Now().Sub(r.heard)
+			now := clock.Now()
+			if overslept(wait, now.Sub(set)) {
+				r.heard = now
+			}
+			quiet := now.Sub(r.heard)
 			if r.check(quiet) {
 				return errSilent
 			}
-			timer.Reset(r.nextCheck(quiet))
+			wait, set = r.nextCheck(quiet), now
+			timer.Reset(wait)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// overslept reports whether a timer fired so late that this process itself
+// stood still: what its targets sent meanwhile waits to be read, and their
+// silence says nothing. After 4 s of standstill all streams of an instance
+// would be moved at once, and the budget would not allow it.
+func overslept(planned, actual time.Duration) bool { return actual > planned+maxLate }
+
 // movable reports whether the stream may go on at another target; one that
 // may not is waited for, whatever is believed of its target.
 func (r *run) movable() bool {
