serve: SIGHUP handled from the first moment, net/http's own reports as JSON lines

A SIGHUP before the handler stood would have ended the process (read in review). Log lines named the instance's and the target's zone alike; the target's is targetZone now.

--- a/cmd/ragworthitch/serve.go
+++ b/cmd/ragworthitch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -27,6 +28,9 @@
 func (c *serveCmd) SetFlags(f *flag.FlagSet) { f.StringVar(&c.level, "log", "info", "log level") }
 
 func (c *serveCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// Before anything else: an unhandled SIGHUP would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	boot, err := platform.LoadBoot()
 	if err != nil {
 		return fail(oops.In("serve").With("file", os.Getenv(platform.BootEnv)).Wrap(err))
@@ -34,7 +38,11 @@
 	w, flush := logs.Bounded(os.Stdout)
 	defer flush()
 	log := logs.New(w, boot.Node(), boot.Zone(), c.level)
-	reloadOnHangup(ctx, log)
+	// What net/http reports by itself (broken connections, answers that
+	// nobody asked for) goes to the same place, in the same form.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.With().Str("level", "info").Logger())
+	go reloadOnHangup(ctx, hup, log)
 	scope, rep, closeScope := metrics.New(boot.Node())
 	defer closeScope()
 	if err := instance.New(boot, log, scope, rep.Text()).Run(ctx); err != nil {
@@ -48,21 +56,18 @@
 // reloadOnHangup reads the settings file again on SIGHUP. What it holds for
 // a running instance never changes; a file that cannot be read is reported
 // and the settings in use stay.
-func reloadOnHangup(ctx context.Context, log zerolog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hup:
-			}
-			if boot, err := platform.LoadBoot(); err != nil {
-				log.Error().Err(err).Msg("instance: settings not reloaded; those in use stay")
-			} else {
-				log.Info().Str("front", boot.Front()).Msg("instance: settings read again")
-			}
+func reloadOnHangup(ctx context.Context, hup <-chan os.Signal, log zerolog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		boot, err := platform.LoadBoot()
+		if err != nil {
+			log.Error().Err(err).Msg("instance: settings not reloaded; those in use stay")
+			continue
 		}
-	}()
+		log.Info().Str("front", boot.Front()).Msg("instance: settings read again")
+	}
 }
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -132,7 +132,7 @@
 	}
 	s.targets.Put(t, maxConns)
 	if news {
-		s.log.Info().Str("target", t.ID()).Str("service", t.Service()).Str("address", t.Address()).Str("zone", t.Zone()).
+		s.log.Info().Str("target", t.ID()).Str("service", t.Service()).Str("address", t.Address()).Str("targetZone", t.Zone()).
 			Bool("draining", t.Draining()).Msg("discovery: target known")
 	}
 }
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -140,7 +140,7 @@
 	out := m.Health().Failed(clock.Now())
 	m.Conns().DropIdle()
 	j.h.stats.targetsOut.Inc(1)
-	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Str("cause", string(cause)).
+	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Str("cause", string(cause)).
 		AnErr("error", err).Dur("outFor", out).Msg("health: target left alone")
 	j.askPeers(m)
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -136,7 +136,7 @@
 	if !errors.Is(err, upstream.ErrNotSent) {
 		s.mayRun = true
 	}
-	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
+	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
 		Int64("lastEvent", s.last).Bool("answered", r.answered).Int("events", r.events).Dur("ran", now.Sub(r.begun)).Dur("quiet", now.Sub(r.heard)).
 		Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
 }
@@ -225,7 +225,7 @@
 func (s *stream) logSend(m, from *registry.Member, o *Order) {
 	load := m.Work().All()
 	s.h.log.Info().Str("request", s.c.ID).Str("route", s.g.Route.Name()).Str("org", s.g.Org).Int64("version", s.g.Version).
-		Dur("proofAge", s.g.Age).Str("target", m.Target().ID()).Str("zone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
+		Dur("proofAge", s.g.Age).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
 		Int("tokens", load.Tokens).Bool("fromCopy", from != nil).Str("copyTo", o.BackupAt).Int64("after", s.last).Int("prompt", s.c.Prompt).
 		Dur("left", o.Left).Msg("route: stream sent")
 }
