--- a/route/engine.go
+++ b/route/engine.go
@@ -7,8 +7,8 @@
 	// runningMs is what one more running stream costs a new one, in ms: a
 	// step takes about 0.12 ms longer for each, 150 ms over the 1,300 steps
 	// of a mean answer, and every prompt read at the engine stops all its
-	// streams. Of 150, 400 and 800, the last two let one stream in a hundred
-	// more be in time under faults and bursts; the smaller moves less.
+	// streams. 400 and 800 were alike and better than 150
+	// (docs/design/platform.md has the figures).
 	runningMs = 400
 	// memoryMs is what it costs, in ms, to be sent to an engine whose memory
 	// would be full, above the share memoryFree: the newest streams there
