--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -75,10 +74,11 @@
 		keep  time.Duration
 	}
 
-	// countedConn counts the bytes that were handed to the kernel.
+	// countedConn counts the bytes that the kernel took.
 	countedConn struct {
 		net.Conn
-		written atomic.Int64
+		mu    sync.Mutex // held while a write is under way
+		taken int64
 	}
 
 	dialKey struct{}
@@ -93,11 +93,22 @@
 	}
 )
 
-// Write counts before it writes, so that a count that has not moved after
-// the connection was closed proves that nothing left.
+// Write counts what the kernel took: nothing of a write on a connection that
+// was reset before.
 func (c *countedConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.taken += int64(n)
+	return n, err
+}
+
+// written is how many bytes the kernel took. It waits for a write that is
+// under way, so that after the connection was closed the count is final.
+func (c *countedConn) written() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken
 }
 
 // NewPool returns a pool for the target at addr with at most max open
@@ -122,11 +133,11 @@
 	if err != nil {
 		return nil, err
 	}
-	before := c.sock.written.Load()
+	before := c.sock.written()
 	resp, err := c.http.RoundTrip(req)
 	if err != nil {
 		c.close()
-		if c.sock.written.Load() == before {
+		if c.sock.written() == before {
 			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 		}
 		return nil, fmt.Errorf("%w: %v", ErrSent, err)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,3 +138,23 @@
 		assert.Equal(t, want, keepFor(http.Header{"Keep-Alive": {v}}), v)
 	}
 }
+
+// resetConn is a connection that the other side has reset before the write.
+type resetConn struct{ net.Conn }
+
+// Write sends nothing.
+func (resetConn) Write([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// An idle connection that was reset, and not noticed yet, takes no byte of
+// the request: the call was not sent.
+func TestResetIdleConnection(t *testing.T) {
+	p, _ := serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") })
+	_, err := get(t, p, "/")
+	require.NoError(t, err)
+	p.mu.Lock()
+	sock := p.idle[0].sock
+	sock.Conn = resetConn{sock.Conn}
+	p.mu.Unlock()
+	_, err = get(t, p, "/")
+	assert.True(t, errors.Is(err, ErrNotSent), "%v", err)
+}
