--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -45,6 +45,8 @@
 			fmt.Fprintf(out, "{\"level\":\"warn\",\"n\":%d}\n", i)
 		}
 	}
+	last := fmt.Sprintf(`{"level":"warn","n":%d}`, 399)
+	require.Eventually(t, func() bool { return strings.Contains(w.String(), last) }, 5*time.Second, time.Millisecond)
 	flush()
 	usual := strings.Count(w.String(), `"level":"info"`)
 	assert.LessOrEqual(t, usual, usualLines)
