--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -226,7 +226,7 @@
 	load := m.Work().All()
 	s.h.log.Info().Str("request", s.c.ID).Str("route", s.g.Route.Name()).Str("org", s.g.Org).Int64("version", s.g.Version).
 		Dur("proofAge", s.g.Age).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
-		Int("tokens", load.Tokens).Bool("fromCopy", from != nil).Str("copyTo", o.BackupAt).Int64("after", s.last).Int("prompt", s.c.Prompt).
+		Int("tokens", load.Tokens).Bool("fromCopy", from != nil).Str("copyTo", o.BackupAt).Int64("afterEvent", s.last).Int("prompt", s.c.Prompt).
 		Dur("left", o.Left).Msg("route: stream sent")
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -81,8 +81,7 @@
 	// period to end.
 	leaveSettle = 2500 * time.Millisecond
 	// leaveMargin is left of the grace period when the last streams are cut.
-	leaveMargin  = 300 * time.Millisecond
-	defaultGrace = 8 * time.Second
+	leaveMargin = 300 * time.Millisecond
 )
 
 // Instance is an entry instance. Make one with New.
@@ -251,9 +250,6 @@
 func (i *Instance) leave(life context.Context) {
 	begun := clock.Now()
 	grace := i.boot.Bounds().Grace
-	if grace <= 0 {
-		grace = defaultGrace
-	}
 	i.handler.Leave()
 	i.log.Info().Int("active", i.handler.Active()).Dur("grace", grace).Msg("instance: leaving")
 	if !clock.Sleep(life, leaveSettle) {
