Choose an engine once for a new stream; dead code out

Pool.Close repeated DropIdle; a failure cause, a registry count and a sort in the metrics page were not used.

--- a/health/health.go
+++ b/health/health.go
@@ -37,7 +37,6 @@
 // Causes of failure.
 const (
 	CauseRefused Cause = "refused" // no connection
-	CauseBroken  Cause = "broken"  // the connection ended before the answer did
 	CauseSilent  Cause = "silent"  // nothing came for too long
 )
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -60,16 +60,16 @@
 // ended the stream.
 func (s *stream) run(ctx context.Context) {
 	defer func() { s.dropCopy() }()
-	if s.hopeless() {
-		s.refuse("cannot end in time", 0)
-		return
-	}
 	for {
 		m, from := s.next()
 		if m == nil {
 			s.end(ctx, http.StatusBadGateway, "no target", nil)
 			return
 		}
+		if s.fails == 0 && s.hopeless(m) {
+			s.refuse("cannot end in time", 0)
+			return
+		}
 		r, err := s.attempt(ctx, m, from)
 		if err == nil {
 			s.answered(m, http.StatusOK)
@@ -89,13 +89,8 @@
 }
 
 // hopeless reports whether the stream cannot end before its caller leaves,
-// whichever engine takes it.
-func (s *stream) hopeless() bool {
-	now := clock.Now()
-	best := s.pickEngine(now, "")
-	if best == nil {
-		return false // refused for that, with a time to come back
-	}
+// though the best engine takes it.
+func (s *stream) hopeless(best *registry.Member) bool {
 	prompt := s.c.Prompt
 	if s.c.After != "" {
 		prompt = 0 // its home may have it still
@@ -104,7 +99,7 @@
 	if e := s.g.Service.Engine(); e != nil {
 		stride = e.Stride
 	}
-	return admit.Stream{Left: s.left(now), Prompt: prompt, Backlog: best.Work().All().Prefill,
+	return admit.Stream{Left: s.left(clock.Now()), Prompt: prompt, Backlog: best.Work().All().Prefill,
 		Output: s.c.Output, Stride: stride, After: s.last}.Hopeless()
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -95,11 +94,6 @@
 func (r *Reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	names := make([]string, 0, len(r.counters))
-	for n := range r.counters {
-		names = append(names, n)
-	}
-	sort.Strings(names)
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(map[string]any{"counters": r.counters, "gauges": r.gauges, "timers": r.timers})
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -236,13 +236,6 @@
 	return r.byID[id]
 }
 
-// Len is the number of known targets.
-func (r *Registry) Len() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return len(r.byID)
-}
-
 // All returns all known targets.
 func (r *Registry) All() []*Member {
 	r.mu.RLock()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -170,12 +170,9 @@
 // Close closes the idle connections; those in use end with their answers.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.closed = true
 	p.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
+	p.DropIdle()
 }
 
 // DropIdle closes the idle connections: the target may have gone silent.
