A peer that has connected anew keeps its view when its old connection ends

Cause (read in the whole change): an entry whose connection to a peer went silent connects anew and sends its whole view; when the peer gave the old connection up 2.5 s later it forgot the new view with it, until each figure changed again.

Change: a view is dropped only with the newest connection that brought it. TestOldConnectionEndsLater failed before (1 running call expected, 0 known).

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -68,9 +68,10 @@
 
 		mu    sync.Mutex
 		ctx   context.Context
-		known map[string]Peer  // by node
-		peers map[string]*link // of those that are told
-		news  chan struct{}    // closed when there is something to tell at once
+		heard map[string]*wire.Conn // the newest connection that brought a peer's view, by node
+		known map[string]Peer       // by node
+		peers map[string]*link      // of those that are told
+		news  chan struct{}         // closed when there is something to tell at once
 	}
 
 	// link is the connection on which a peer is told our view.
@@ -82,7 +83,7 @@
 
 // New returns an exchange for the named instance.
 func New(node, zone string, targets *registry.Registry, places *recall.Recall, log zerolog.Logger) *Exchange {
-	return &Exchange{node: node, zone: zone, targets: targets, recall: places, log: log, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
+	return &Exchange{node: node, zone: zone, targets: targets, recall: places, log: log, heard: map[string]*wire.Conn{}, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
 }
 
 // Tell has the own view sent to all peers at once.
@@ -287,13 +288,33 @@
 		if err != nil {
 			break
 		}
-		node = v.Node
+		if node == "" {
+			node = v.Node
+			e.hear(node, c)
+		}
 		e.take(v)
 	}
-	if node != "" {
-		e.targets.Forget(node)
-		e.log.Info().Str("peer", node).Msg("exchange: peer's view dropped")
+	e.drop(node, c)
+}
+
+// hear notes the connection that now brings a peer's view.
+func (e *Exchange) hear(node string, c *wire.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heard[node] = c
+}
+
+// drop forgets a peer's view with its connection, unless the peer has
+// connected anew meanwhile.
+func (e *Exchange) drop(node string, c *wire.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.heard[node] != c {
+		return
 	}
+	delete(e.heard, node)
+	e.targets.Forget(node)
+	e.log.Info().Str("peer", node).Msg("exchange: peer's view dropped")
 }
 
 func (e *Exchange) take(v wire.View) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 const within = 2 * time.Second
@@ -70,6 +71,28 @@
 	assert.Eventually(t, func() bool { return seen.All() == registry.Load{} }, 2*within, 5*time.Millisecond)
 }
 
+// A peer that has connected anew is not forgotten when its old connection,
+// which went silent, is given up.
+func TestOldConnectionEndsLater(t *testing.T) {
+	b := start(t, "b")
+	seen := b.targets.ByID("i-1").Work()
+	tell := func() *wire.Conn {
+		c, err := wire.DialView(t.Context(), b.addr)
+		require.NoError(t, err)
+		require.NoError(t, c.SendView(t.Context(), wire.View{Node: "a", Loads: []wire.TargetLoad{{Target: "i-1", Running: 1}}}))
+		require.Eventually(t, func() bool { return seen.All().Running == 1 }, within, time.Millisecond)
+		return c
+	}
+	old := tell()
+	renewed := tell()
+	time.Sleep(20 * time.Millisecond) // the second view has been taken
+	old.CloseNow()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, 1, seen.All().Running)
+	renewed.CloseNow()
+	assert.Eventually(t, func() bool { return seen.All().Running == 0 }, within, time.Millisecond)
+}
+
 // A peer that comes back at another address is reached there.
 func TestPeerMoves(t *testing.T) {
 	a, b, c := start(t, "a"), start(t, "b"), start(t, "b")
