One request life for the product's own caller API and the platform

Cause: calls of the product's own API had a life of their own (entry), with its own choice of targets, repeats, stall handling and moves, beside ingress; every rule about what may be sent again stood twice. Change: entry hands its calls to ingress.Handler. For that ingress takes events as values, a route may say how long a target may stay silent, a stream that lost its last target may wait for another, and a target may belong to several services (an engine that serves two models is one load). A wire error while a call is sent now counts as sent: it was "not run" before, which a frame that had left whole would have made untrue. Ruled out: serving the product's API on the platform's entries without agents; its claims and takeovers would have no rows to stand on there.

--- a/desired.go
+++ b/desired.go
@@ -38,6 +38,7 @@
 		Timeout    time.Duration // longest time a caller is kept waiting
 		Target     time.Duration // time to the answer (streams: first event) that callers expect
 		GapTarget  time.Duration // streams: longest pause between events that callers expect
+		Stall      time.Duration // streams: silence after which a run counts as lost; 0: not said
 		Priority   int           // 0 is the most urgent
 		Shares     []Share       // services of the route; one entry unless it is split
 		MaxTargets int           // targets one call may be sent to
@@ -146,6 +147,10 @@
 // GapTarget is the longest pause between events that callers expect.
 func (r *Route) GapTarget() time.Duration { return r.p.GapTarget }
 
+// Stall is the silence after which a run of a stream counts as lost; 0 if
+// the operator does not say.
+func (r *Route) Stall() time.Duration { return r.p.Stall }
+
 // Priority is the route's rank; 0 is the most urgent.
 func (r *Route) Priority() int { return r.p.Priority }
 
--- a/entry/call.go
+++ b/entry/call.go
@@ -5,14 +5,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/settings"
-	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 // Claim states of a call that may not repeat.
@@ -24,6 +25,9 @@
 	stateUnknown  = "unknown"
 )
 
+// headerIdempotencyKey carries a call's idempotency key to the sender.
+const headerIdempotencyKey = "Idempotency-Key"
+
 type (
 	// Answer is the result of a plain service call.
 	Answer struct {
@@ -38,67 +42,8 @@
 		RequestID string `json:"requestId"`
 		Answer    string `json:"answer,omitempty"`
 	}
-
-	callKey struct {
-		id      string
-		attempt int
-	}
-
-	callTable struct {
-		mu      sync.Mutex
-		waiting map[callKey]chan wire.Message
-		target  map[callKey]string
-		seq     int
-	}
 )
 
-func (c *callTable) add(id, target string) (callKey, chan wire.Message) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting == nil {
-		c.waiting, c.target = map[callKey]chan wire.Message{}, map[callKey]string{}
-	}
-	c.seq++
-	k := callKey{id, c.seq}
-	ch := make(chan wire.Message, 1)
-	c.waiting[k], c.target[k] = ch, target
-	return k, ch
-}
-
-func (c *callTable) remove(k callKey) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.waiting, k)
-	delete(c.target, k)
-}
-
-// deliver hands a result to its waiting call; false if none waits.
-func (c *callTable) deliver(m wire.Message) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ch, ok := c.waiting[callKey{m.RequestID, m.Attempt}]
-	if ok {
-		select {
-		case ch <- m:
-		default:
-		}
-	}
-	return ok
-}
-
-func (c *callTable) targetLost(name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for k, t := range c.target {
-		if t == name {
-			select {
-			case c.waiting[k] <- wire.Message{Type: wire.TypeFail, RequestID: k.id, Attempt: k.attempt, Reason: "connection lost"}:
-			default:
-			}
-		}
-	}
-}
-
 // Call runs a plain service call. A repeatable call is tried on another
 // service when one fails. A call that may not repeat is claimed in the table
 // first: it runs only if the claim is this call's, a repeat gets the
@@ -118,44 +63,28 @@
 }
 
 func (e *Entry) callRepeatable(ctx context.Context, req ragworthitch.Request) (Answer, error) {
-	exclude := map[string]bool{}
-	var last error
-	for range 3 {
-		text, _, err := e.send(ctx, req, exclude)
-		if err == nil {
-			return Answer{Text: text}, nil
-		}
-		last = err
-		if errors.Is(err, ErrNoTarget) || ctx.Err() != nil {
-			break
-		}
+	text, err := e.send(ctx, req, safePath)
+	if errors.Is(err, ErrNotRun) {
+		return Answer{}, fmt.Errorf("%w: %v", ErrNoTarget, err)
 	}
-	return Answer{}, last
+	return Answer{Text: text}, err
 }
 
-// send makes one call on a service; sent reports whether the order left.
-func (e *Entry) send(ctx context.Context, req ragworthitch.Request, exclude map[string]bool) (string, bool, error) {
-	name, conn, epoch, err := e.pick(settings.KindService, "", 0, exclude)
-	if err != nil {
-		return "", false, err
-	}
-	exclude[name] = true
-	k, ch := e.calls.add(req.ID(), name)
-	defer e.calls.remove(k)
-	m := wire.Message{Type: wire.TypeCall, RequestID: req.ID(), Attempt: k.attempt, Fencing: epoch,
-		Op: req.Op(), Org: req.Org(), IdempotencyKey: req.IdempotencyKey()}
-	if err := conn.Send(ctx, m); err != nil {
-		return "", false, err
-	}
-	select {
-	case <-ctx.Done():
-		return "", true, ctx.Err()
-	case r := <-ch:
-		if r.Type == wire.TypeResult {
-			return r.Answer, true, nil
-		}
-		// A fenced order was refused before it reached the service.
-		return "", !r.Fenced, fmt.Errorf("entry: call failed: %s", r.Reason)
+// send lets a call run at a target. Errors: ErrNotRun if it certainly did
+// not run, else ErrUnknownOutcome.
+func (e *Entry) send(ctx context.Context, req ragworthitch.Request, path string) (string, error) {
+	var r result
+	c := &ingress.Call{ID: req.ID(), Method: http.MethodPost, Path: path + req.Op(), Key: req.Org(),
+		Header: http.Header{headerIdempotencyKey: {req.IdempotencyKey()}}, Received: clock.Now()}
+	switch whole := e.serve(ctx, &r, c); {
+	case !whole:
+		return "", fmt.Errorf("%w: the caller left", ErrUnknownOutcome)
+	case r.status == http.StatusOK:
+		return r.body.String(), nil
+	case r.status == http.StatusServiceUnavailable:
+		return "", fmt.Errorf("%w: no target took the call", ErrNotRun)
+	default:
+		return "", fmt.Errorf("%w: %s", ErrUnknownOutcome, http.StatusText(r.status))
 	}
 }
 
@@ -174,18 +103,15 @@
 	case cur.Claim != claim:
 		return Answer{}, fmt.Errorf("%w: key %s is claimed by another call that has not finished", ErrUnknownOutcome, req.IdempotencyKey())
 	}
-	text, sent, err := e.send(ctx, req, map[string]bool{})
+	text, err := e.send(ctx, req, oncePath)
 	if err != nil {
 		state := stateUnknown
-		if !sent {
+		if errors.Is(err, ErrNotRun) {
 			state = stateReleased
-		}
-		e.settle(key, row.Version, onceRow{State: state, Claim: claim, RequestID: req.ID()})
-		if !sent {
 			e.stats.CallsNotRun.Add(1)
-			return Answer{}, fmt.Errorf("%w: %v", ErrNotRun, err)
 		}
-		return Answer{}, fmt.Errorf("%w: %v", ErrUnknownOutcome, err)
+		e.settle(key, row.Version, onceRow{State: state, Claim: claim, RequestID: req.ID()})
+		return Answer{}, err
 	}
 	e.settle(key, row.Version, onceRow{State: stateDone, Claim: claim, RequestID: req.ID(), Answer: text})
 	return Answer{Text: text}, nil
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -172,6 +172,6 @@
 		Msgf("resume: stream %s taken over from %s at offset %d", id, rr.Entry, len(s.tokens))
 	s.resumeAt = time.Now()
 	go s.keepDurable(e.base())
-	go s.drive(e.base(), rr.Attempt+1, "", nil, 0)
+	s.start(rr.Attempt + 1)
 	return s, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,10 +1,10 @@
-// Package entry is the thin, stateless entry instance behind the platform's
-// balancer. It keeps no state that must last: it learns the targets from
-// their agents' lease rows in the platform table, speaks the wire protocol
-// to each agent, routes requests, drives each generation through its
-// attempts (resuming on another engine from the delivered prefix when one
-// dies) and makes calls that may not repeat at most once by claiming them in
-// the table first.
+// Package entry is the product's own entry instance behind a balancer. It
+// keeps no state that must last: it learns the targets from their agents'
+// lease rows in the store, and speaks the wire protocol to each agent. Calls
+// live in package ingress; besides, a generation is kept for callers that
+// reconnect, with checkpoints from which another entry goes on when this one
+// dies, and a call that may not repeat is claimed in the store before it
+// runs.
 package entry
 
 import (
@@ -18,17 +18,17 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/ragworthitch/ragworthitch/agent"
+	"github.com/ragworthitch/ragworthitch/budget"
+	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
-	"github.com/ragworthitch/ragworthitch/route"
+	"github.com/ragworthitch/ragworthitch/recall"
+	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/settings"
-	"github.com/ragworthitch/ragworthitch/wire"
 )
 
-// Limits of the entry.
 const (
-	maxAttempts  = 6
-	startWindow  = 2 * time.Second // how long the starts sent to a target count against it
+	// storeTime bounds one call to the store, some 50 times its usual answer.
+	storeTime    = time.Second
 	streamShards = 32
 )
 
@@ -52,18 +52,20 @@
 type (
 	// Entry is one entry instance.
 	Entry struct {
-		cfg    *settings.File
-		self   settings.Entry
-		log    zerolog.Logger
-		pf     *platform.Client
-		scope  tally.Scope
-		policy route.LeastLoaded
+		cfg     *settings.File
+		self    settings.Entry
+		log     zerolog.Logger
+		pf      *platform.Client
+		scope   tally.Scope
+		life    *ingress.Handler
+		members registry.Registry // targets whose agents are connected
+		recall  recall.Recall
 
 		mu      sync.Mutex
 		targets map[string]*target
 
 		streams [streamShards]streamShard
-		calls   callTable
+		callSeq atomic.Int64 // numbers the orders of short calls
 		stats   Stats
 		ready   atomic.Bool
 
@@ -88,17 +90,6 @@
 		Adopted        atomic.Int64
 	}
 
-	target struct {
-		lease    agent.LeaseValue
-		conn     *wire.Conn
-		dialing  bool
-		healthy  bool
-		reported int
-		reportAt time.Time
-		starts   []time.Time
-		seen     time.Time
-	}
-
 	streamShard struct {
 		mu sync.Mutex
 		m  map[string]*Stream
@@ -114,8 +105,15 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Entry{cfg: cfg, self: self, log: log, scope: scope, policy: route.LeastLoaded{Zone: self.Zone},
-		pf: platform.NewClient(cfg.Platform.Listen, time.Second), targets: map[string]*target{}}, nil
+	book, err := newBook(cfg)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{cfg: cfg, self: self, log: log, scope: scope,
+		pf: platform.NewClient(cfg.Platform.Listen, storeTime), targets: map[string]*target{}}
+	e.life = ingress.New(ingress.Config{Zone: self.Zone, Book: book, Targets: &e.members, Recall: &e.recall,
+		Budget: budget.New(repeatLimit), Sender: sender{e}, Await: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
+	return e, nil
 }
 
 // Settings returns the deployment's settings.
@@ -163,181 +161,6 @@
 	return p.Wait()
 }
 
-// refresh rereads the lease rows and connects to new agents.
-func (e *Entry) refresh(ctx context.Context) {
-	rows, err := e.pf.List(ctx, agent.LeasePrefix)
-	if err != nil {
-		// The platform is down: keep the targets we know, connections tell
-		// us of deaths.
-		e.log.Debug().Err(err).Msg("entry: target list not refreshed")
-		return
-	}
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range rows {
-		lv, err := agent.DecodeLease(r.Value)
-		if err != nil || r.Expired {
-			continue
-		}
-		t := e.targets[lv.Target]
-		if t == nil {
-			t = &target{healthy: true}
-			e.targets[lv.Target] = t
-		}
-		t.lease, t.seen = lv, now
-		if t.conn == nil && !t.dialing {
-			t.dialing = true
-			go e.dial(ctx, lv.Target, lv.Agent)
-		}
-	}
-	live := 0
-	for name, t := range e.targets {
-		if now.Sub(t.seen) > 3*settings.Ms(e.cfg.Timeouts.LeaseMs) {
-			if t.conn != nil {
-				t.conn.CloseNow()
-			}
-			delete(e.targets, name)
-			continue
-		}
-		if t.conn != nil {
-			live++
-		}
-	}
-	e.ready.Store(live > 0)
-}
-
-// dial connects to an agent and reads its messages until the connection
-// ends.
-func (e *Entry) dial(ctx context.Context, name, addr string) {
-	dctx, cancel := context.WithTimeout(ctx, time.Second)
-	c, err := wire.Dial(dctx, addr)
-	cancel()
-	e.mu.Lock()
-	t := e.targets[name]
-	if t != nil {
-		t.dialing = false
-	}
-	if err != nil || t == nil {
-		e.mu.Unlock()
-		if err == nil {
-			c.CloseNow()
-		}
-		return
-	}
-	t.conn = c
-	e.mu.Unlock()
-	e.log.Debug().Str("target", name).Msg("entry: connected to agent")
-	for {
-		m, err := c.Recv(ctx)
-		if err != nil {
-			break
-		}
-		e.dispatch(name, m)
-	}
-	e.mu.Lock()
-	if t := e.targets[name]; t != nil && t.conn == c {
-		t.conn = nil
-	}
-	e.mu.Unlock()
-	c.CloseNow()
-	e.log.Info().Str("target", name).Msg("entry: connection to agent lost")
-	e.failTarget(name)
-}
-
-// dispatch hands one agent message to its stream or call.
-func (e *Entry) dispatch(name string, m wire.Message) {
-	switch m.Type {
-	case wire.TypeLoad:
-		e.mu.Lock()
-		if t := e.targets[name]; t != nil {
-			t.healthy = m.Healthy
-			t.reported = m.Running + m.Waiting
-			t.reportAt = time.UnixMilli(m.AtMs)
-		}
-		e.mu.Unlock()
-	case wire.TypeResult:
-		e.calls.deliver(m)
-	case wire.TypeToken, wire.TypeDone, wire.TypeFail:
-		if m.Type == wire.TypeFail && e.calls.deliver(m) {
-			return
-		}
-		if s := e.stream(m.RequestID); s != nil {
-			s.deliver(m)
-		}
-	}
-}
-
-// failTarget tells every stream and call on a target that it is gone.
-func (e *Entry) failTarget(name string) {
-	for i := range e.streams {
-		sh := &e.streams[i]
-		sh.mu.Lock()
-		var on []*Stream
-		for _, s := range sh.m {
-			if s.onTarget(name) {
-				on = append(on, s)
-			}
-		}
-		sh.mu.Unlock()
-		for _, s := range on {
-			s.targetLost(name)
-		}
-	}
-	e.calls.targetLost(name)
-}
-
-// pick chooses a target for kind/model, skipping those in exclude, and
-// returns its name, connection and fencing number.
-func (e *Entry) pick(kind, model string, key uint64, exclude map[string]bool) (string, *wire.Conn, uint64, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	names := make([]string, 0, len(e.targets))
-	cands := make([]route.Candidate, 0, len(e.targets))
-	for name, t := range e.targets {
-		if t.conn == nil || exclude[name] {
-			continue
-		}
-		sent := 0
-		keep := t.starts[:0]
-		for _, at := range t.starts {
-			if now.Sub(at) < startWindow {
-				keep = append(keep, at)
-				if at.After(t.reportAt) {
-					sent++
-				}
-			}
-		}
-		t.starts = keep
-		names = append(names, name)
-		cands = append(cands, route.Candidate{Name: name, Zone: t.lease.Zone, Healthy: t.healthy,
-			Draining: t.lease.Draining, Serves: serves(t.lease, kind, model), Reported: t.reported, SentSince: sent})
-	}
-	i := route.Pick(cands, e.policy, key)
-	if i < 0 {
-		return "", nil, 0, ErrNoTarget
-	}
-	t := e.targets[names[i]]
-	t.starts = append(t.starts, now)
-	return names[i], t.conn, t.lease.Epoch, nil
-}
-
-func serves(l agent.LeaseValue, kind, model string) bool {
-	if l.Kind != kind {
-		return false
-	}
-	if model == "" {
-		return true
-	}
-	for _, m := range l.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
-}
-
 func (e *Entry) stream(id string) *Stream {
 	sh := &e.streams[shardOf(id)]
 	sh.mu.Lock()
@@ -352,16 +175,3 @@
 	}
 	return int(h % streamShards)
 }
-
-// KnowsAll reports whether the entry is connected to at least n agents.
-func (e *Entry) KnowsAll(n int) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	live := 0
-	for _, t := range e.targets {
-		if t.conn != nil {
-			live++
-		}
-	}
-	return live >= n
-}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,45 +2,56 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/ragworthitch/ragworthitch"
-	"github.com/ragworthitch/ragworthitch/platform"
-	"github.com/ragworthitch/ragworthitch/queue"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/route"
-	"github.com/ragworthitch/ragworthitch/settings"
-	"github.com/ragworthitch/ragworthitch/wire"
 )
 
-// Sizes of a stream.
 const (
 	linger       = time.Minute // a finished stream is kept this long for reconnects
 	requestTable = "req/"
+	prefixWords  = 64 // of a prompt, that its organisation's others share
+
+	// States of a request's row.
+	stateRunning = "running"
+	stateFailed  = "failed"
 )
 
 type (
 	// Stream is one generation as the entry drives it: the tokens delivered
-	// so far, in order, each from the attempt current when it arrived.
+	// so far, in order, each from the attempt current when it arrived. The
+	// life of a call (package ingress) writes its answer to it, as to any
+	// http.ResponseWriter; callers read it with Next and may come and go.
 	Stream struct {
 		e      *Entry
 		req    ragworthitch.Request
 		prompt string
-		key    uint64
-		events queue.Queue[wire.Message]
+		log    zerolog.Logger
+		stop   context.CancelFunc // ends its run
+		begun  chan struct{}      // closed when a target was chosen, or none was found
+		once   sync.Once          // closes begun
 
 		mu       sync.Mutex
+		header   http.Header
+		status   int
 		tokens   []ragworthitch.Token
+		first    int // number of the first attempt here
 		attempt  int
-		target   string
 		err      error
 		done     bool
 		changed  chan struct{}
 		version  int64
-		resumeAt time.Time
+		resumeAt time.Time // when the attempt before ended; zero while one runs
 		saving   bool
 		saved    int
 		savedAt  time.Time
@@ -48,6 +59,7 @@
 		promptSaved bool   // the prompt checkpoint is in the store
 		rowDirty    bool   // the request row's last write did not land
 		rowState    string // the state that write carried
+		target      string
 	}
 
 	// requestRow is the value of a request's row in the table.
@@ -58,14 +70,6 @@
 		Delivered int    `json:"delivered"`
 		State     string `json:"state"`
 	}
-
-	outcome int
-)
-
-const (
-	outcomeDone outcome = iota
-	outcomeFailed
-	outcomeStopped
 )
 
 // Generate starts a streamed generation. The first target is picked before
@@ -78,30 +82,33 @@
 	if !e.cfg.OrgAllows(req.Org(), req.Model()) {
 		return nil, fmt.Errorf("%w: %q may not use %q", ragworthitch.ErrUnknownModel, req.Org(), req.Model())
 	}
-	name, conn, epoch, err := e.pick(settings.KindEngine, req.Model(), routeKey(req, prompt), nil)
-	if err != nil {
-		return nil, err
-	}
 	s := newStream(e, req, prompt)
 	if !e.register(s) {
 		return nil, fmt.Errorf("%w: %s", ErrDuplicate, req.ID())
 	}
+	s.start(1)
+	<-s.begun
+	if s.Attempts() == 0 {
+		e.unregister(s)
+		return nil, ErrNoTarget
+	}
 	e.stats.Streams.Add(1)
 	s.savePrompt(ctx)
 	go s.keepDurable(e.base())
-	go s.drive(e.base(), 1, name, conn, epoch)
 	return s, nil
 }
 
 func newStream(e *Entry, req ragworthitch.Request, prompt string) *Stream {
-	return &Stream{e: e, req: req, prompt: prompt, key: routeKey(req, prompt), changed: make(chan struct{})}
+	return &Stream{e: e, req: req, prompt: prompt, log: e.log.With().Str("request", req.ID()).Logger(),
+		begun: make(chan struct{}), changed: make(chan struct{})}
 }
 
-// routeKey is the prefix-cache key of a request: organisation, model and
-// the prompt's first words.
-func routeKey(req ragworthitch.Request, prompt string) uint64 {
-	words := strings.Fields(prompt)
-	return route.Key(req.Org(), req.Model(), strings.Join(words[:min(len(words), 64)], " "))
+// subject is what a request's prompt begins with: engines keep what
+// requests of an organisation share.
+func (s *Stream) subject() string {
+	words := strings.Fields(s.prompt)
+	key := route.Key(s.req.Org(), s.req.Model(), strings.Join(words[:min(len(words), prefixWords)], " "))
+	return strconv.FormatUint(key, 16)
 }
 
 // register makes s the stream of its request id; false if there is one.
@@ -119,6 +126,16 @@
 	return true
 }
 
+// unregister forgets a stream.
+func (e *Entry) unregister(s *Stream) {
+	sh := &e.streams[shardOf(s.req.ID())]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.m[s.req.ID()] == s {
+		delete(sh.m, s.req.ID())
+	}
+}
+
 // Attach returns a stream this entry is driving or has just finished, or
 // takes over one whose entry died (see adopt).
 func (e *Entry) Attach(ctx context.Context, id string) (*Stream, error) {
@@ -170,169 +187,107 @@
 	s.changed = make(chan struct{})
 }
 
-// deliver queues a message for the driver; it never blocks, so a slow
-// stream cannot hold up the other streams of the same agent.
-func (s *Stream) deliver(m wire.Message) { s.events.Push(m) }
-
-func (s *Stream) onTarget(name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.done && s.target == name
+// start lets the stream run from the tokens it has; first is the number of
+// its next attempt.
+func (s *Stream) start(first int) {
+	ctx, cancel := context.WithCancel(s.e.base())
+	s.stop, s.first = cancel, first
+	c := &ingress.Call{ID: s.req.ID(), Method: http.MethodPost, Path: generatePath + s.req.Model() + "/", Key: s.req.Org(),
+		Prompt: s.req.PromptTokens(), Output: s.req.MaxTokens(), Subject: s.subject(), Received: clock.Now()}
+	if n := len(s.tokens); n > 0 {
+		c.After = strconv.Itoa(n)
+	}
+	go func() {
+		defer cancel()
+		whole := s.e.serve(ctx, s, c)
+		s.ended(ctx, whole)
+	}()
 }
 
-func (s *Stream) targetLost(name string) {
+// ended settles a stream whose run is over.
+func (s *Stream) ended(ctx context.Context, whole bool) {
+	defer s.once.Do(func() { close(s.begun) })
 	s.mu.Lock()
-	a := s.attempt
+	status := s.status
 	s.mu.Unlock()
-	s.deliver(wire.Message{Type: wire.TypeFail, RequestID: s.req.ID(), Attempt: a, Reason: "connection to agent of " + name + " lost"})
-}
-
-// drive runs attempts until the answer is whole or every attempt failed.
-// The first attempt is numbered first; with no name a target is picked.
-func (s *Stream) drive(ctx context.Context, first int, name string, conn *wire.Conn, epoch uint64) {
-	e := s.e
-	exclude := map[string]bool{}
-	log := e.log.With().Str("request", s.req.ID()).Logger()
-	for attempt := first; attempt < first+maxAttempts; attempt++ {
-		if attempt > first || name == "" {
-			var err error
-			name, conn, epoch, err = s.pickAgain(ctx, exclude)
-			if err != nil {
-				break
-			}
-		}
-		prefix := s.begin(attempt, name)
-		if err := s.record(ctx, "running"); errors.Is(err, platform.ErrConflict) {
-			log.Warn().Int("attempt", attempt).Msg("resume: request row taken by another entry, stopping")
-			s.finish(ErrGaveUp)
-			return
-		}
-		if len(prefix) > 0 || attempt > first {
-			e.stats.Resumes.Add(1)
-			e.stats.Recomputed.Add(int64(len(prefix)))
-			e.scope.Counter("resumes").Inc(1)
-			e.scope.Counter("tokensRecomputed").Inc(int64(len(prefix)))
-			log.Info().Int("attempt", attempt).Str("target", name).Int("offset", len(prefix)).Msgf("resume: attempt %d on %s from offset %d", attempt, name, len(prefix))
-		}
-		start := wire.Message{Type: wire.TypeStart, RequestID: s.req.ID(), Attempt: attempt, Fencing: epoch,
-			Model: s.req.Model(), Prompt: s.prompt, MaxTokens: s.req.MaxTokens(), Priority: s.req.Priority(),
-			Seed: s.req.Seed(), Prefix: prefix}
-		var out outcome
-		var reason string
-		if err := conn.Send(ctx, start); err != nil {
-			out, reason = outcomeFailed, err.Error()
-		} else {
-			out, reason = s.follow(ctx, attempt)
-		}
-		switch out {
-		case outcomeDone:
-			s.finish(nil)
-			s.record(ctx, "done")
-			return
-		case outcomeStopped:
-			s.finish(ctx.Err())
-			return
-		}
-		log.Warn().Int("attempt", attempt).Str("target", name).Str("reason", reason).Msgf("resume: attempt %d on %s given up: %s", attempt, name, reason)
-		conn.Send(ctx, wire.Message{Type: wire.TypeCancel, RequestID: s.req.ID(), Attempt: attempt})
-		exclude[name] = true
-		s.mu.Lock()
-		if s.resumeAt.IsZero() {
-			s.resumeAt = time.Now()
+	switch {
+	case whole && status == http.StatusOK:
+		s.finish(nil)
+		s.settle(stateDone)
+	case s.e.base().Err() != nil:
+		s.finish(ctx.Err())
+	case s.Attempts() == 0:
+		s.finish(ErrNoTarget)
+	default:
+		s.e.stats.GaveUp.Add(1)
+		s.log.Error().Int("attempts", s.Attempts()).Int("delivered", s.delivered()).Msg("resume: gave up, no attempt left")
+		s.finish(ErrGaveUp)
+		if ctx.Err() == nil {
+			s.settle(stateFailed)
 		}
-		s.mu.Unlock()
 	}
-	e.stats.GaveUp.Add(1)
-	log.Error().Msg("resume: gave up, every attempt failed")
-	s.finish(ErrGaveUp)
-	s.record(ctx, "failed")
 }
 
-// pickAgain finds a target for the next attempt, waiting up to one stall
-// timeout for one to appear; targets that failed this request go last.
-func (s *Stream) pickAgain(ctx context.Context, exclude map[string]bool) (string, *wire.Conn, uint64, error) {
-	deadline := time.Now().Add(settings.Ms(s.e.cfg.Timeouts.StallMs))
-	for {
-		name, conn, epoch, err := s.e.pick(settings.KindEngine, s.req.Model(), s.key, exclude)
-		if err == nil {
-			return name, conn, epoch, nil
-		}
-		if name, conn, epoch, err = s.e.pick(settings.KindEngine, s.req.Model(), s.key, nil); err == nil {
-			return name, conn, epoch, nil
-		}
-		if time.Now().After(deadline) {
-			return "", nil, 0, err
-		}
-		select {
-		case <-ctx.Done():
-			return "", nil, 0, ctx.Err()
-		case <-time.After(50 * time.Millisecond):
-		}
+// settle writes the last state of the request's row; keepDurable writes it
+// again if the store is down.
+func (s *Stream) settle(state string) {
+	if err := s.record(s.e.base(), state); err != nil {
+		s.log.Warn().Err(err).Str("state", state).Msg("resume: last state not written")
 	}
 }
 
-// begin makes attempt current and returns the delivered prefix.
-func (s *Stream) begin(attempt int, name string) []string {
+// begin numbers a new attempt and returns the tokens it goes on from.
+func (s *Stream) begin(target string) (attempt int, prefix []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.attempt, s.target = attempt, name
-	prefix := make([]string, len(s.tokens))
+	s.attempt = max(s.attempt+1, s.first)
+	s.target = target
+	prefix = make([]string, len(s.tokens))
 	for i, t := range s.tokens {
 		prefix[i] = t.Text()
 	}
-	return prefix
+	s.once.Do(func() { close(s.begun) })
+	if s.attempt > 1 {
+		s.e.stats.Resumes.Add(1)
+		s.e.stats.Recomputed.Add(int64(len(prefix)))
+		s.e.scope.Counter("resumes").Inc(1)
+		s.e.scope.Counter("tokensRecomputed").Inc(int64(len(prefix)))
+		s.log.Info().Int("attempt", s.attempt).Str("target", target).Int("offset", len(prefix)).Msg("resume: next attempt")
+	}
+	return s.attempt, prefix
 }
 
-// follow takes the tokens of one attempt until it ends.
-func (s *Stream) follow(ctx context.Context, attempt int) (outcome, string) {
-	stall := settings.Ms(s.e.cfg.Timeouts.StallMs)
-	t := time.NewTimer(stall)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return outcomeStopped, "stopped"
-		case <-t.C:
-			return outcomeFailed, fmt.Sprintf("no token for %v", stall)
-		case <-s.events.Ready():
-			for _, m := range s.events.Take() {
-				if m.Attempt != attempt {
-					if m.Type == wire.TypeToken {
-						s.e.stats.Discarded.Add(1)
-					}
-					continue
-				}
-				switch m.Type {
-				case wire.TypeToken:
-					if ok, reason := s.take(m); !ok {
-						return outcomeFailed, reason
-					}
-					t.Reset(stall)
-				case wire.TypeDone:
-					if n := s.delivered(); n < s.req.MaxTokens() {
-						return outcomeFailed, fmt.Sprintf("stream ended at %d of %d tokens", n, s.req.MaxTokens())
-					}
-					return outcomeDone, ""
-				case wire.TypeFail:
-					return outcomeFailed, m.Reason
-				}
-			}
-		}
+// interrupted notes that an attempt ended before the answer did.
+func (s *Stream) interrupted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.resumeAt.IsZero() && !s.done {
+		s.resumeAt = time.Now()
 	}
 }
 
-// take appends a token if it is the next one.
-func (s *Stream) take(m wire.Message) (bool, string) {
+// Header is the header of the answer; callers of the stream get their own.
+func (s *Stream) Header() http.Header {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch n := len(s.tokens); {
-	case m.Offset < n:
-		s.e.stats.Discarded.Add(1)
-		return true, ""
-	case m.Offset > n:
-		return false, fmt.Sprintf("gap: offset %d after %d", m.Offset, n)
+	if s.header == nil {
+		s.header = http.Header{}
 	}
-	s.tokens = append(s.tokens, ragworthitch.NewToken(m.Offset, m.Attempt, m.Text))
+	return s.header
+}
+
+// WriteHeader takes the status of the answer.
+func (s *Stream) WriteHeader(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+}
+
+// Write takes the next token of the answer.
+func (s *Stream) Write(token []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens = append(s.tokens, ragworthitch.NewToken(len(s.tokens), s.attempt, string(token)))
 	s.e.stats.Delivered.Add(1)
 	s.maybeCheckpoint(false)
 	if !s.resumeAt.IsZero() {
@@ -343,9 +298,12 @@
 		s.resumeAt = time.Time{}
 	}
 	s.notify()
-	return true, ""
+	return len(token), nil
 }
 
+// FlushError does nothing: Next waits for every token.
+func (s *Stream) FlushError() error { return nil }
+
 func (s *Stream) finish(err error) {
 	s.mu.Lock()
 	s.done, s.err = true, err
@@ -353,12 +311,5 @@
 	s.maybeCheckpoint(true)
 	s.mu.Unlock()
 	s.e.scope.Counter("tokensDelivered").Inc(int64(s.delivered()))
-	time.AfterFunc(linger, func() {
-		sh := &s.e.streams[shardOf(s.req.ID())]
-		sh.mu.Lock()
-		if sh.m[s.req.ID()] == s {
-			delete(sh.m, s.req.ID())
-		}
-		sh.mu.Unlock()
-	})
+	time.AfterFunc(linger, func() { s.e.unregister(s) })
 }
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -2,7 +2,8 @@
 // against the desired state, sent to a target, sent again where its kind
 // allows that, and answered whole or refused truthfully. Streams go on at
 // another target when theirs fails. It knows no wire format: a Sender puts
-// orders on the wire, and the caller's side hands in decoded calls.
+// orders on the wire, and the caller's side hands in decoded calls. The
+// platform's entries and the product's own caller API share it.
 package ingress
 
 import (
@@ -62,6 +63,10 @@
 		Header    http.Header // to be passed on
 		Body      io.ReadCloser
 		Sized     bool // the body's end is marked, so that a cut shows
+		// Events hands a stream's events to emit until that returns false.
+		// It returns nil when the target ended the stream. If it is nil, the
+		// body is a text/event-stream.
+		Events func(emit func(Event) bool) error
 	}
 
 	// Sender puts an order on the wire and returns the head of the answer to
@@ -84,6 +89,14 @@
 	RankLast
 )
 
+// events hands the events of a stream to emit.
+func (r *Reply) events(emit func(Event) bool) error {
+	if r.Events != nil {
+		return r.Events(emit)
+	}
+	return readEvents(r.Body, emit)
+}
+
 // failure reports whether a reply says that the target could not serve the
 // call.
 func (r *Reply) failure() bool { return r.Status >= http.StatusInternalServerError }
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -22,22 +22,22 @@
 	idField     = []byte("id:")
 )
 
-// event is one whole event of a stream, bytes as the target sent them.
-type event struct {
-	raw []byte
-	id  int64 // 0 if it has none
+// Event is one whole event of a stream, bytes as the target sent them.
+type Event struct {
+	Raw []byte
+	ID  int64 // rises from event to event; 0 if it has none
 }
 
 // readEvents hands every whole event of a text/event-stream to emit, which
 // may keep it. An event that is cut off is not handed on. It returns nil
 // when the stream ended where its target ended it.
-func readEvents(r io.Reader, emit func(event) bool) error {
+func readEvents(r io.Reader, emit func(Event) bool) error {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, eventBuffer), maxEvent)
 	sc.Split(splitEvents)
 	for sc.Scan() {
 		raw := bytes.Clone(sc.Bytes())
-		if !emit(event{raw: raw, id: eventID(raw)}) {
+		if !emit(Event{Raw: raw, ID: eventID(raw)}) {
 			return nil
 		}
 	}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -47,6 +47,7 @@
 		recall  *recall.Recall
 		budget  *budget.Budget
 		send    Sender
+		await   time.Duration
 		tell    func()
 		ready   func() bool
 		log     zerolog.Logger
@@ -64,8 +65,9 @@
 		Recall  *recall.Recall
 		Budget  *budget.Budget
 		Sender  Sender
-		Ready   func() bool // callers are served well here; nil: always
-		Tell    func()      // has other instances told of this one's work; nil: nobody
+		Await   time.Duration // how long a stream that lost its target waits for another to appear
+		Ready   func() bool   // callers are served well here; nil: always
+		Tell    func()        // has other instances told of this one's work; nil: nobody
 		Log     zerolog.Logger
 		Scope   tally.Scope
 	}
@@ -80,7 +82,7 @@
 		cfg.Ready = func() bool { return true }
 	}
 	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
-		send: cfg.Sender, log: cfg.Log, stats: newStats(cfg.Scope)}
+		send: cfg.Sender, await: cfg.Await, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
 // Leave makes the handler ask callers to use other instances, and refuse new
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -209,9 +209,9 @@
 	f.Add([]byte("weight-versions: 3\nid: 7\n\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		var out []byte
-		err := readEvents(strings.NewReader(string(in)), func(e event) bool {
-			require.Regexp(t, "\n\r?\n$", string(e.raw))
-			out = append(out, e.raw...)
+		err := readEvents(strings.NewReader(string(in)), func(e Event) bool {
+			require.Regexp(t, "\n\r?\n$", string(e.Raw))
+			out = append(out, e.Raw...)
 			return true
 		})
 		require.True(t, strings.HasPrefix(string(in), string(out)))
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -65,7 +65,7 @@
 	// news is what a run's reader reports: a head, an event or an end.
 	news struct {
 		reply *Reply
-		ev    event
+		ev    Event
 		err   error
 		end   bool
 	}
@@ -94,13 +94,13 @@
 	defer reply.Body.Close()
 	if reply.Status != http.StatusOK {
 		body, err := readWhole(reply.Body)
-		tell(news{reply: reply, ev: event{raw: body}, err: err, end: true})
+		tell(news{reply: reply, ev: Event{Raw: body}, err: err, end: true})
 		return
 	}
 	if !tell(news{reply: reply}) {
 		return
 	}
-	err = readEvents(reply.Body, func(e event) bool { return tell(news{ev: e}) })
+	err = reply.events(func(e Event) bool { return tell(news{ev: e}) })
 	tell(news{err: err, end: true})
 }
 
@@ -127,7 +127,7 @@
 			if n.end {
 				return r.ended(ctx, head, n)
 			}
-			if n.ev.raw != nil {
+			if n.ev.Raw != nil {
 				if err := r.pass(head, n.ev); err != nil {
 					return err
 				}
@@ -171,6 +171,8 @@
 	case !r.answered && r.from == nil:
 		probe, move = firstProbe, r.firstBy
 	case r.s.copied && r.s.copyAt != "":
+	case r.s.g.Route.Stall() > 0:
+		move = r.s.g.Route.Stall()
 	case memory(r.m.Work().All().Tokens, r.s.g.Service.Engine()) > fullMemory:
 		move = moveAnewFull
 	default:
@@ -200,18 +202,18 @@
 }
 
 // pass hands one event to the caller.
-func (r *run) pass(head *Reply, e event) error {
+func (r *run) pass(head *Reply, e Event) error {
 	s := r.s
 	if r.events == 0 {
 		r.started()
 	}
 	r.events++
 	s.copied = true
-	if e.id != 0 {
-		if e.id <= s.last {
+	if e.ID != 0 {
+		if e.ID <= s.last {
 			return nil // the caller has it
 		}
-		if !s.follows(e.id, r.fresh == 0) {
+		if !s.follows(e.ID, r.fresh == 0) {
 			return errEventGap
 		}
 		r.fresh++
@@ -220,14 +222,14 @@
 		s.begin(head)
 		s.h.stats.firstEvent.Record(clock.Now().Sub(s.c.Received))
 	}
-	if _, err := s.w.Write(e.raw); err != nil {
+	if _, err := s.w.Write(e.Raw); err != nil {
 		return err
 	}
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return err
 	}
-	if e.id != 0 {
-		s.last = e.id
+	if e.ID != 0 {
+		s.last = e.ID
 	}
 	if s.cutAt != 0 {
 		s.resumed(r)
@@ -258,7 +260,7 @@
 		r.m.Health().Answered(now, 0, true)
 		return upstream.ErrNotSent
 	case head.Status != http.StatusOK:
-		return r.answeredOtherwise(head, n.ev.raw)
+		return r.answeredOtherwise(head, n.ev.Raw)
 	}
 	s.mayRun = true
 	if !head.Sized && s.last == 0 {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -62,6 +62,9 @@
 	defer func() { s.dropCopy() }()
 	for {
 		m, from := s.next()
+		if m == nil && s.fails > 0 {
+			m, from = s.awaitTarget(ctx)
+		}
 		if m == nil {
 			s.end(ctx, http.StatusBadGateway, "no target", nil)
 			return
@@ -120,6 +123,17 @@
 	return s.pickEngine(now, ""), nil
 }
 
+// awaitTarget waits for a target to take a stream that has lost its own: a
+// part of the answer is with the caller, and a restarted target may be there
+// in a moment.
+func (s *stream) awaitTarget(ctx context.Context) (m, from *registry.Member) {
+	until := clock.Now().Add(s.h.await)
+	for m == nil && clock.Now() < until && clock.Sleep(ctx, checkEvery) {
+		m, from = s.next()
+	}
+	return m, from
+}
+
 // lost notes how a run ended.
 func (s *stream) lost(r *run, err error) {
 	now, m := clock.Now(), r.m
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -93,7 +93,9 @@
 			r.forget(old)
 		}
 		r.byID[t.ID()], r.byAddr[t.Address()] = m, m
-		r.services[t.Service()] = append(r.services[t.Service()], m)
+		for _, s := range t.Services() {
+			r.services[s] = append(r.services[s], m)
+		}
 		return
 	}
 	m.mu.Lock()
@@ -170,7 +172,9 @@
 	if r.byAddr[t.Address()] == m {
 		delete(r.byAddr, t.Address())
 	}
-	r.services[t.Service()] = slices.DeleteFunc(slices.Clone(r.services[t.Service()]), func(o *Member) bool { return o == m })
+	for _, s := range t.Services() {
+		r.services[s] = slices.DeleteFunc(slices.Clone(r.services[s]), func(o *Member) bool { return o == m })
+	}
 	m.conns.Close()
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -75,3 +75,18 @@
 	r.Forget("n2")
 	assert.Equal(t, Load{}, w.All())
 }
+
+// An engine that serves several models is one target with one load, found by
+// each of them.
+func TestSeveralServices(t *testing.T) {
+	var r Registry
+	r.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "a", Service: "planner", Others: []string{"summary"}, Address: "10.0.0.1:80"}), 0)
+	r.Put(target("b", "10.0.0.2:80", false), 0)
+	require.Len(t, r.Service("planner"), 1)
+	require.Len(t, r.Service("summary"), 1)
+	assert.Same(t, r.Service("planner")[0], r.Service("summary")[0])
+	r.Refused("a")
+	assert.Empty(t, r.Service("planner"))
+	assert.Empty(t, r.Service("summary"))
+	assert.Len(t, r.Service("llm"), 1)
+}
--- a/target.go
+++ b/target.go
@@ -11,7 +11,8 @@
 	TargetParams struct {
 		ID       string // differs for every boot
 		Service  string
-		Address  string // ip:port
+		Others   []string // further services that it belongs to
+		Address  string   // ip:port
 		Zone     string
 		Slots    int
 		Draining bool
@@ -26,9 +27,13 @@
 // ID is the id of this boot of the target.
 func (t Target) ID() string { return t.p.ID }
 
-// Service is the service the target belongs to.
+// Service is the service the target belongs to; the first of them, if there
+// are several.
 func (t Target) Service() string { return t.p.Service }
 
+// Services are all services the target belongs to.
+func (t Target) Services() []string { return append([]string{t.p.Service}, t.p.Others...) }
+
 // Address is the target's ip:port. It may be given to a target of another
 // service once this one has ended.
 func (t Target) Address() string { return t.p.Address }
