--- a/entry/sender.go
+++ b/entry/sender.go
@@ -9,7 +9,6 @@
 	"path"
 	"strings"
 
-	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/queue"
@@ -38,11 +37,6 @@
 	return s.call(ctx, o, l, epoch)
 }
 
-// Copy does nothing: agents know no copies.
-func (sender) Copy(context.Context, *ingress.Order, ragworthitch.Target) (ingress.Copy, error) {
-	return ingress.Copy{}, fmt.Errorf("%w: agents make no copies", upstream.ErrNotSent)
-}
-
 // call sends a short call and waits for its result.
 func (s sender) call(ctx context.Context, o *ingress.Order, l *link, epoch uint64) (*ingress.Reply, error) {
 	k := orderKey{o.Call.ID, int(s.e.callSeq.Add(1))}
--- a/ingress/await_test.go
+++ b/ingress/await_test.go
@@ -83,8 +83,3 @@
 		assert.Equal(t, moves, run.check(quiet), "%v", quiet)
 	}
 }
-
-// Copy makes no copy.
-func (*lastTargetSender) Copy(context.Context, *Order, ragworthitch.Target) (Copy, error) {
-	return Copy{}, errBroken
-}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -44,7 +44,7 @@
 		Org      string
 		Left     time.Duration // how long an answer is still of use
 		After    string        // go on after this event
-		From     *Copy         // go on from this copy, at the engine that holds it; nil: from the prompt
+		CopyAt   string        // address of the engine to go on from: it holds a copy of the run's memory
 		BackupAt string        // address of the engine to copy the run's memory to as it grows
 		Rank     Rank          // which orders a busy engine runs first
 	}
@@ -73,10 +73,6 @@
 	// it. Errors wrap upstream.ErrNotSent or upstream.ErrSent.
 	Sender interface {
 		Send(ctx context.Context, o *Order) (*Reply, error)
-		// Copy has the engine that runs an order copy the run's memory to
-		// another engine, while the run goes on, and returns when it is
-		// there. Made again, it copies what is new.
-		Copy(ctx context.Context, o *Order, to ragworthitch.Target) (Copy, error)
 	}
 )
 
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -220,8 +220,3 @@
 		}
 	})
 }
-
-// Copy makes no copy.
-func (*modelSender) Copy(context.Context, *Order, ragworthitch.Target) (Copy, error) {
-	return Copy{}, errBroken
-}
--- a/ingress/return_test.go
+++ b/ingress/return_test.go
@@ -57,8 +57,3 @@
 	return &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x", Header: http.Header{}, After: "7",
 		Prompt: 8000, Output: 1000, Subject: subject, Received: clock.Now()}
 }
-
-// Copy makes no copy.
-func (*orderSender) Copy(context.Context, *Order, ragworthitch.Target) (Copy, error) {
-	return Copy{}, errBroken
-}
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -48,7 +48,6 @@
 	run struct {
 		s       *stream
 		m, from *registry.Member // from: it goes on from the copy there
-		order   *Order
 		begun   clock.Time
 		heard   clock.Time    // last sign of life of this run
 		probed  clock.Time    // when its target was last asked for a connection
@@ -56,13 +55,8 @@
 		firstBy time.Duration // after so long without an answer it is lost
 		started func()        // to be called at the first event
 		news    chan news
-		copies  chan copying
-		// copying: a copy is being made on request; copiedAt is when one
-		// was last asked for.
-		copying  bool
-		copiedAt clock.Time
-		events   int
-		fresh    int // numbered events that the caller did not have yet
+		events  int
+		fresh   int // numbered events that the caller did not have yet
 		// answered: the answer's head has come. Engines send it when they
 		// begin to generate.
 		answered bool
@@ -137,10 +131,7 @@
 				if err := r.pass(head, n.ev); err != nil {
 					return err
 				}
-				r.keepCopy(ctx, now)
 			}
-		case c := <-r.copies:
-			r.copied(c)
 		case <-lost:
 			return errLost
 		case <-timer.C:
@@ -179,7 +170,7 @@
 	switch {
 	case !r.answered && r.from == nil:
 		probe, move = firstProbe, r.firstBy
-	case r.s.backup.made:
+	case r.s.copied && r.s.copyAt != "":
 	case r.s.g.Route.Stall() > 0:
 		move = r.s.g.Route.Stall()
 	case memory(r.m.Work().All().Tokens, r.s.g.Service.Engine()) > fullMemory:
@@ -217,7 +208,7 @@
 		r.started()
 	}
 	r.events++
-	s.backup.grown()
+	s.copied = true
 	if e.ID != 0 {
 		if e.ID <= s.last {
 			return nil // the caller has it
--- a/ingress/stats.go
+++ b/ingress/stats.go
@@ -16,10 +16,10 @@
 
 // stats are the handler's counters and histograms.
 type stats struct {
-	answered, failed, refused, denied, abandoned   tally.Counter
-	hedged, overBudget, targetsOut                 tally.Counter
-	resumed, resumedByCopy, copiesAnew, streamsCut tally.Counter
-	plainTime, firstEvent, resumeTime              recorder
+	answered, failed, refused, denied, abandoned tally.Counter
+	hedged, overBudget, targetsOut               tally.Counter
+	resumed, resumedByCopy, streamsCut           tally.Counter
+	plainTime, firstEvent, resumeTime            recorder
 }
 
 // recorder records durations in a histogram.
@@ -37,7 +37,7 @@
 		answered: s.Counter("answered"), failed: s.Counter("failed"), refused: s.Counter("refused"),
 		denied: s.Counter("denied"), abandoned: s.Counter("abandoned"), hedged: s.Counter("hedged"),
 		overBudget: s.Counter("over_budget"), targetsOut: s.Counter("targets_out"),
-		resumed: s.Counter("resumed"), resumedByCopy: s.Counter("resumed_by_copy"), copiesAnew: s.Counter("copies_anew"), streamsCut: s.Counter("streams_cut"),
+		resumed: s.Counter("resumed"), resumedByCopy: s.Counter("resumed_by_copy"), streamsCut: s.Counter("streams_cut"),
 		plainTime: hist("plain_time"), firstEvent: hist("first_event_time"), resumeTime: hist("resume_time"),
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -38,16 +38,18 @@
 // stream is a streamed call in progress, over all its runs.
 type stream struct {
 	*job
-	last   int64 // id of the last event passed on
-	step   int64 // by which ids rise; 0: not known yet, 1 is taken
-	begun  bool  // the caller has the head of the answer
-	backup backup
-	cutAt  clock.Time // when the run before ended; 0: there was none
-	fails  int
+	last     int64  // id of the last event passed on
+	step     int64  // by which ids rise; 0: not known yet, 1 is taken
+	begun    bool   // the caller has the head of the answer
+	copyAt   string // address that the run's memory is copied to
+	copied   bool   // the run has made events, so there is a copy to go on from
+	dropCopy func()
+	cutAt    clock.Time // when the run before ended; 0: there was none
+	fails    int
 }
 
 func newStream(j *job) *stream {
-	s := &stream{job: j}
+	s := &stream{job: j, dropCopy: func() {}}
 	if n, err := strconv.ParseInt(j.c.After, 10, 64); err == nil {
 		s.last = n
 	}
@@ -57,7 +59,7 @@
 // run sends the call to one target after the other until one of them has
 // ended the stream.
 func (s *stream) run(ctx context.Context) {
-	defer s.backup.release()
+	defer func() { s.dropCopy() }()
 	for {
 		m, from := s.next()
 		if m == nil && s.fails > 0 {
@@ -107,10 +109,10 @@
 // next chooses the target of the next run, and the copy it goes on from.
 func (s *stream) next() (m, from *registry.Member) {
 	now := clock.Now()
-	if s.backup.made {
+	if s.copied && s.copyAt != "" {
 		// The copy lies with whatever engine has the address now: it may
 		// have been there before its entry was.
-		if c := s.h.targets.At(s.backup.Holder.Address()); c != nil && c.Takes(now) {
+		if c := s.h.targets.At(s.copyAt); c != nil && c.Takes(now) {
 			return c, c
 		}
 	}
@@ -179,8 +181,7 @@
 	}
 	prompt := s.c.Prompt
 	if from != nil {
-		from := s.backup.Copy
-		o.From, prompt = &from, 0
+		o.CopyAt, prompt = from.Target().Address(), 0
 	}
 	s.placeCopy(m, o)
 	s.logSend(m, from, o)
@@ -190,8 +191,7 @@
 	s.h.tell()
 	defer done()
 	s.sends++
-	r := &run{s: s, m: m, from: from, order: o, begun: now, heard: now, gap: s.gap(), firstBy: firstBy, started: started,
-		news: make(chan news, pendingEvents), copies: make(chan copying)}
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, gap: s.gap(), firstBy: firstBy, started: started, news: make(chan news, pendingEvents)}
 	go r.read(ctx, o)
 	return r, r.watch(ctx)
 }
@@ -239,6 +239,22 @@
 		Dur("left", o.Left).Msg("route: stream sent")
 }
 
+// placeCopy chooses where the run's memory is copied to: an engine in
+// another zone, since engines of one zone fail together.
+func (s *stream) placeCopy(m *registry.Member, o *Order) {
+	s.dropCopy()
+	s.copyAt, s.copied, s.dropCopy = "", false, func() {}
+	if e := s.g.Service.Engine(); e == nil || !e.Backups || !s.g.Route.Resumable() {
+		return
+	}
+	c := s.pickEngine(clock.Now(), m.Target().Zone(), append(s.tried, m)...)
+	if c == nil {
+		return
+	}
+	s.copyAt, s.dropCopy = c.Target().Address(), c.Work().KeepCopy(s.size())
+	o.BackupAt = s.copyAt
+}
+
 // follows reports whether an event with this id comes right after the last
 // one passed on, first in its run or not. Within a run events follow each
 // other; a run that goes on has to begin where the last one ended, by the
