An engine emulator and a tool that compares policies without network

A Sender answers whether a target takes connections (Probe), and the choice among engines is a policy of the handler.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,9 +15,19 @@
 // Time is a point on the boot clock. The zero value lies before any reading.
 type Time time.Duration
 
+// runtimeTime, once set, has Now read the time of the Go runtime.
+var runtimeTime atomic.Bool
+
+// FollowRuntime has Now read the time of the Go runtime from here on, which
+// tests and experiments may drive; it is not for programs that serve.
+func FollowRuntime() { runtimeTime.Store(true) }
+
 // Now reads the boot clock. It falls back to the monotonic clock where the
 // kernel has no boot clock.
 func Now() Time {
+	if runtimeTime.Load() {
+		return Time(time.Now().UnixNano())
+	}
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return Time(time.Since(start)) + 1
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/queue"
+	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -37,6 +38,14 @@
 	return s.call(ctx, o, l, epoch)
 }
 
+// Probe reports whether a target's agent is connected.
+func (s sender) Probe(_ context.Context, m *registry.Member) error {
+	if l, _ := s.e.linkTo(m.Target().ID()); l == nil {
+		return fmt.Errorf("%w: agent of %s not connected", upstream.ErrNotSent, m.Target().ID())
+	}
+	return nil
+}
+
 // call sends a short call and waits for its result.
 func (s sender) call(ctx context.Context, o *ingress.Order, l *link, epoch uint64) (*ingress.Reply, error) {
 	k := orderKey{o.Call.ID, int(s.e.callSeq.Add(1))}
--- /dev/null
+++ b/experiment/entry.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/budget"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/emulator"
+	"github.com/ragworthitch/ragworthitch/ingress"
+	"github.com/ragworthitch/ragworthitch/recall"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+const (
+	serviceName = "llm"
+	host        = "plans.example"
+	path        = "/plan/"
+
+	// viewDelay is how late the other entries know of an entry's work:
+	// measured as 10 ms and less.
+	viewDelay = 10 * time.Millisecond
+	// viewEvery is the time between two views without a new stream.
+	viewEvery = 50 * time.Millisecond
+	// newsDelay is how long after its start a restarted engine is known.
+	newsDelay = time.Second
+
+	// What callers of the streams we serve expect.
+	patience   = 25 * time.Second
+	firstAim   = 4500 * time.Millisecond
+	pauseAim   = 700 * time.Millisecond
+	maxTargets = 5
+)
+
+// repeats is the operator's usual limit.
+var repeats = budget.Limit{Ratio: 0.8, Extra: 150, Span: 10 * time.Second}
+
+// instance is one entry instance of a play.
+type instance struct {
+	name    string
+	play    *play
+	targets registry.Registry
+	recall  recall.Recall
+	told    uint64 // own places told to the others
+	handler *ingress.Handler
+}
+
+func newInstance(p *play, name, zone string) *instance {
+	in := &instance{name: name, play: p}
+	book := desired.NewBook(desired.Ages{Deny: time.Hour, Key: time.Hour})
+	book.Apply(p.state)
+	book.Proved(clock.Now())
+	for _, place := range p.cluster.Places() {
+		in.targets.Put(p.cluster.Target(place), 0)
+	}
+	cfg := ingress.Config{Zone: zone, Book: book, Targets: &in.targets, Recall: &in.recall, Budget: budget.New(repeats),
+		Sender: p.cluster, Engines: p.variant.Engines, Log: zerolog.Nop()}
+	if !p.variant.Alone {
+		cfg.Tell = in.tell
+	}
+	in.handler = ingress.New(cfg)
+	return in
+}
+
+// desiredState is that of a play: one route to the engines.
+func desiredState(copies bool) (*ragworthitch.DesiredState, error) {
+	return ragworthitch.NewDesiredState(ragworthitch.DesiredParams{Version: 1,
+		Services: []ragworthitch.Service{ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceName,
+			Engine: &ragworthitch.Engine{Slots: 64, KVTokens: emulator.Memory, Backups: copies, Stride: emulator.Stride, CopyExpiry: emulator.CopyExpiry}})},
+		Routes: []ragworthitch.Route{ragworthitch.NewRoute(ragworthitch.RouteParams{Name: "plans", Host: host, Prefix: path,
+			Kind: ragworthitch.CallStream, Timeout: patience, Target: firstAim, GapTarget: pauseAim, MaxTargets: maxTargets, Resumable: true,
+			Shares: []ragworthitch.Share{{Service: serviceName, Weight: 1}}})}})
+}
+
+// tell has the other entries told of this one's work at once.
+func (in *instance) tell() { time.AfterFunc(viewDelay, in.share) }
+
+// share tells the other entries of this one's work and of the places where it
+// had prompts read.
+func (in *instance) share() {
+	p := in.play
+	p.mu.Lock()
+	places, n := in.recall.Since(in.told)
+	in.told = n
+	p.mu.Unlock()
+	for _, o := range p.entries {
+		if o == in {
+			continue
+		}
+		for _, m := range in.targets.All() {
+			if om := o.targets.ByID(m.Target().ID()); om != nil {
+				om.Work().SetOther(in.name, m.Work().Own())
+			}
+		}
+		for _, pl := range places {
+			o.recall.Heard(pl, clock.Now())
+		}
+	}
+}
+
+// keepTelling shares the entry's work until ctx ends.
+func (in *instance) keepTelling(ctx context.Context) {
+	for !in.play.variant.Alone && clock.Sleep(ctx, viewEvery) {
+		in.share()
+	}
+}
+
+// serve serves one call and reports whether its answer is whole.
+func (in *instance) serve(ctx context.Context, w http.ResponseWriter, c *ingress.Call) (whole bool) {
+	defer func() {
+		if r := recover(); r != nil && r != http.ErrAbortHandler {
+			panic(r)
+		}
+	}()
+	in.handler.Serve(ctx, w, c)
+	return true
+}
+
+// around spreads a mean by a share of it, evenly.
+func around(rng *rand.Rand, mean int, share float64) int {
+	return int(float64(mean) * (1 + share*(2*rng.Float64()-1)))
+}
--- /dev/null
+++ b/experiment/load.go
@@ -0,0 +1,103 @@
+// Package experiment compares policies under a load: entry instances with the
+// product's own request life (package ingress) before emulated engines
+// (package emulator), all in one process and without network, play the same
+// load once for each variant.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/ragworthitch/ragworthitch/emulator"
+)
+
+// Kinds of fault.
+const (
+	FaultDown  = "down"  // the engines of a zone crash
+	FaultDark  = "dark"  // they lose power
+	FaultStuck = "stuck" // they stop, and go on where they were
+	FaultReset = "reset" // a share of the callers' connections is reset
+	FaultBurst = "burst" // more callers come
+)
+
+// ErrBadLoad is wrapped by errors about a load.
+var ErrBadLoad = errors.New("experiment: bad load")
+
+type (
+	// Load is what is played.
+	Load struct {
+		Name    string   `yaml:"name"`
+		Seed    uint64   `yaml:"seed"`
+		Entries int      `yaml:"entries"`
+		Engines int      `yaml:"engines"`
+		Zones   []string `yaml:"zones"`
+		Seconds int      `yaml:"seconds"` // for which streams begin
+		PerSec  float64  `yaml:"perSecond"`
+		Prompt  int      `yaml:"prompt"` // mean tokens; +-30%
+		Events  int      `yaml:"events"` // mean of an answer; +-20%
+		Faults  []Fault  `yaml:"faults"`
+	}
+
+	// Fault is one fault of a load.
+	Fault struct {
+		Kind   string  `yaml:"kind"`
+		AtMs   int     `yaml:"atMs"`
+		ForMs  int     `yaml:"forMs"`
+		Zone   string  `yaml:"zone"`
+		Share  float64 `yaml:"share"`  // of the zone's engines, or of the connections; 0: all
+		Factor float64 `yaml:"factor"` // of callers
+	}
+)
+
+// ReadLoads reads a YAML list of loads. Errors wrap ErrBadLoad.
+func ReadLoads(file string) ([]Load, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBadLoad, err)
+	}
+	var loads []Load
+	if err := yaml.UnmarshalWithOptions(b, &loads, yaml.Strict()); err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrBadLoad, file, err)
+	}
+	for _, l := range loads {
+		if err := l.check(); err != nil {
+			return nil, err
+		}
+	}
+	return loads, nil
+}
+
+func (l *Load) check() error {
+	switch {
+	case l.Entries < 1 || l.Engines < 1 || len(l.Zones) == 0 || l.Seconds < 1:
+		return fmt.Errorf("%w: %q needs entries, engines, zones and seconds", ErrBadLoad, l.Name)
+	case l.Prompt < 1 || l.Prompt > emulator.Memory/2:
+		return fmt.Errorf("%w: %q: prompt is %d tokens, at most half of an engine's memory is possible", ErrBadLoad, l.Name, l.Prompt)
+	case l.Events < 1 || l.PerSec <= 0:
+		return fmt.Errorf("%w: %q needs events and perSecond", ErrBadLoad, l.Name)
+	}
+	for _, f := range l.Faults {
+		switch f.Kind {
+		case FaultDown, FaultDark, FaultStuck, FaultReset, FaultBurst:
+		default:
+			return fmt.Errorf("%w: %q: unknown fault %q", ErrBadLoad, l.Name, f.Kind)
+		}
+	}
+	return nil
+}
+
+// rate is how many streams begin in a second at a time.
+func (l *Load) rate(at time.Duration) float64 {
+	r := l.PerSec
+	for _, f := range l.Faults {
+		from := time.Duration(f.AtMs) * time.Millisecond
+		if f.Kind == FaultBurst && at >= from && at < from+time.Duration(f.ForMs)*time.Millisecond {
+			r *= f.Factor
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/experiment/play.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/emulator"
+)
+
+// play is one load played with one variant.
+type play struct {
+	load    Load
+	variant Variant
+	state   *ragworthitch.DesiredState
+	cluster *emulator.Cluster
+	entries []*instance
+	callers []*caller
+	begun   time.Time
+
+	mu  sync.Mutex
+	rng *rand.Rand // choices that depend on what happens
+}
+
+// Play plays a load with a variant. It takes as long as the load says, and
+// until the last caller has its answer.
+func Play(ctx context.Context, l Load, v Variant) (Result, error) {
+	state, err := desiredState(!v.NoCopy)
+	if err != nil {
+		return Result{}, err
+	}
+	p := &play{load: l, variant: v, state: state, cluster: emulator.NewCluster(serviceName, l.Engines, l.Zones), begun: time.Now(),
+		rng: rand.New(rand.NewPCG(l.Seed, 2))}
+	for i := range l.Entries {
+		p.entries = append(p.entries, newInstance(p, fmt.Sprint("entry-", i), l.Zones[i%len(l.Zones)]))
+	}
+	p.callers = p.draw(rand.New(rand.NewPCG(l.Seed, 1)))
+	life, stop := context.WithCancel(ctx)
+	var group, callers conc.WaitGroup
+	for _, place := range p.cluster.Places() {
+		group.Go(func() { place.Run(life) })
+	}
+	for _, in := range p.entries {
+		group.Go(func() { in.keepTelling(life) })
+	}
+	for _, f := range l.Faults {
+		group.Go(func() { p.fault(life, f) })
+	}
+	for _, c := range p.callers {
+		callers.Go(func() {
+			if clock.Sleep(life, c.at) {
+				c.run(life)
+			}
+		})
+	}
+	callers.Wait()
+	stop()
+	group.Wait()
+	return p.result(), ctx.Err()
+}
+
+// Compare plays so many draws of a load with every variant, all at the same
+// time; no play knows of the others.
+func Compare(ctx context.Context, l Load, variants []Variant, draws int) ([]Result, error) {
+	out := make([]Result, len(variants))
+	group := pool.New().WithErrors()
+	for i, v := range variants {
+		group.Go(func() (err error) {
+			out[i], err = playDraws(ctx, l, v, draws)
+			return err
+		})
+	}
+	return out, group.Wait()
+}
+
+// playDraws plays a load with a variant, with as many seeds as draws.
+func playDraws(ctx context.Context, l Load, v Variant, draws int) (Result, error) {
+	out := make([]Result, draws)
+	group := pool.New().WithErrors()
+	for i := range draws {
+		l.Seed++
+		drawn := l
+		group.Go(func() (err error) {
+			out[i], err = Play(ctx, drawn, v)
+			return err
+		})
+	}
+	err := group.Wait()
+	return merge(out), err
+}
+
+// draw draws the callers of the load: the same ones for every variant.
+func (p *play) draw(rng *rand.Rand) []*caller {
+	var out []*caller
+	end := time.Duration(p.load.Seconds) * time.Second
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / p.load.rate(at) * float64(time.Second))
+		if at >= end {
+			return out
+		}
+		out = append(out, &caller{play: p, id: fmt.Sprintf("%x", rng.Uint64()), at: at,
+			prompt: around(rng, p.load.Prompt, 0.3), events: around(rng, p.load.Events, 0.2)})
+	}
+}
+
+// anyEntry is the entry that the balancer chooses.
+func (p *play) anyEntry() *instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entries[p.rng.IntN(len(p.entries))]
+}
+
+// chosen reports whether a fault of a share strikes somebody.
+func (p *play) chosen(share float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return share == 0 || p.rng.Float64() < share
+}
+
+// fault brings one fault about, and ends it.
+func (p *play) fault(ctx context.Context, f Fault) {
+	if !clock.Sleep(ctx, time.Duration(f.AtMs)*time.Millisecond) {
+		return
+	}
+	switch f.Kind {
+	case FaultReset:
+		for _, c := range p.callers {
+			if p.chosen(f.Share) {
+				c.breakOff()
+			}
+		}
+	case FaultDown:
+		p.failZone(ctx, f, emulator.Down)
+	case FaultDark:
+		p.failZone(ctx, f, emulator.Dark)
+	case FaultStuck:
+		p.failZone(ctx, f, emulator.Stuck)
+	}
+}
+
+// failZone has engines of a zone fail for a while. The entries learn of a new
+// boot some time after it.
+func (p *play) failZone(ctx context.Context, f Fault, s emulator.State) {
+	var struck []*emulator.Place
+	for _, place := range p.cluster.Places() {
+		if place.Zone == f.Zone && p.chosen(f.Share) {
+			struck = append(struck, place)
+			place.Fail(s)
+		}
+	}
+	if !clock.Sleep(ctx, time.Duration(f.ForMs)*time.Millisecond) {
+		return
+	}
+	for _, place := range struck {
+		place.Restart()
+	}
+	if s == emulator.Stuck || !clock.Sleep(ctx, newsDelay) {
+		return
+	}
+	for _, place := range struck {
+		for _, in := range p.entries {
+			in.targets.Put(p.cluster.Target(place), 0)
+		}
+	}
+}
--- a/ingress/await_test.go
+++ b/ingress/await_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
 // lastTargetSender cuts the first run after two events and takes its target
@@ -83,3 +85,6 @@
 		assert.Equal(t, moves, run.check(quiet), "%v", quiet)
 	}
 }
+
+// Probe finds nobody.
+func (*lastTargetSender) Probe(context.Context, *registry.Member) error { return upstream.ErrNotSent }
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -69,10 +69,15 @@
 		Events func(emit func(Event) bool) error
 	}
 
-	// Sender puts an order on the wire and returns the head of the answer to
-	// it. Errors wrap upstream.ErrNotSent or upstream.ErrSent.
+	// Sender speaks to targets. Errors wrap upstream.ErrNotSent or
+	// upstream.ErrSent.
 	Sender interface {
+		// Send puts an order on the wire and returns the head of the answer
+		// to it.
 		Send(ctx context.Context, o *Order) (*Reply, error)
+		// Probe asks a target for a connection; an error means that it takes
+		// none.
+		Probe(ctx context.Context, m *registry.Member) error
 	}
 )
 
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/route"
 )
 
 // Retry-After of refusals, by cause. Each is spread by up to half of itself,
@@ -47,6 +48,7 @@
 		recall  *recall.Recall
 		budget  *budget.Budget
 		send    Sender
+		engines EnginePolicy
 		await   time.Duration
 		tell    func()
 		ready   func() bool
@@ -57,6 +59,9 @@
 		active  atomic.Int64
 	}
 
+	// EnginePolicy chooses among model engines.
+	EnginePolicy = route.Policy[route.EngineCandidate]
+
 	// Config is what a Handler works with.
 	Config struct {
 		Zone    string
@@ -65,6 +70,7 @@
 		Recall  *recall.Recall
 		Budget  *budget.Budget
 		Sender  Sender
+		Engines EnginePolicy  // nil: route.Engines
 		Await   time.Duration // how long a stream that lost its target waits for another to appear
 		Ready   func() bool   // callers are served well here; nil: always
 		Tell    func()        // has other instances told of this one's work; nil: nobody
@@ -78,11 +84,14 @@
 	if cfg.Tell == nil {
 		cfg.Tell = func() {}
 	}
+	if cfg.Engines == nil {
+		cfg.Engines = route.Engines{}
+	}
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
 	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
-		send: cfg.Sender, await: cfg.Await, log: cfg.Log, stats: newStats(cfg.Scope)}
+		send: cfg.Sender, engines: cfg.Engines, await: cfg.Await, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
 // Leave makes the handler ask callers to use other instances, and refuse new
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -84,7 +84,7 @@
 			Home: homes[i], Back: j.c.After != "",
 			Barred: t.Zone() == notZone || slices.Contains(bar, m), Jitter: rand.Float64()}
 	}
-	if i := route.Pick(cands, route.Engines{}, 0); i >= 0 {
+	if i := route.Pick(cands, j.h.engines, 0); i >= 0 {
 		return ms[i]
 	}
 	return nil
@@ -166,7 +166,7 @@
 	}
 	defer m.Health().EndProbe()
 	begun := clock.Now()
-	err := m.Conns().Probe(context.Background())
+	err := j.h.send.Probe(context.Background(), m)
 	if err != nil && !overslept(upstream.DialTimeout, clock.Now().Sub(begun)) {
 		j.failed(m, cause, err)
 	}
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -220,3 +220,6 @@
 		}
 	})
 }
+
+// Probe finds nobody.
+func (*modelSender) Probe(context.Context, *registry.Member) error { return upstream.ErrNotSent }
--- a/ingress/return_test.go
+++ b/ingress/return_test.go
@@ -12,6 +12,8 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/recall"
+	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
 // orderSender notes where orders go and answers each with a whole stream.
@@ -57,3 +59,6 @@
 	return &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x", Header: http.Header{}, After: "7",
 		Prompt: 8000, Output: 1000, Subject: subject, Received: clock.Now()}
 }
+
+// Probe finds nobody.
+func (*orderSender) Probe(context.Context, *registry.Member) error { return upstream.ErrNotSent }
