A quiet engine is asked for a connection after 150 ms

Change: while no prompt is known to be read at its engine, a stream that has been quiet for 150 ms has it asked; the silence and the wait for the connection overlap. A failed connection says nothing if the stream was heard meanwhile. Before, it did. Ruled out: a copy at an engine that reads nothing (they read a quarter of the time).

--- a/ingress/job.go
+++ b/ingress/job.go
@@ -158,18 +158,26 @@
 	}
 }
 
-// probe asks a target for a connection, unless somebody does so already, and
-// notes if there is none.
+// probe asks a target for a connection and notes if there is none.
 func (j *job) probe(m *registry.Member, cause health.Cause) {
+	if err := j.ask(m); err != nil {
+		j.failed(m, cause, err)
+	}
+}
+
+// ask asks a target for a connection, unless somebody does so already. An
+// error means that it took none.
+func (j *job) ask(m *registry.Member) error {
 	if !m.Health().BeginProbe() {
-		return
+		return nil
 	}
 	defer m.Health().EndProbe()
 	begun := clock.Now()
 	err := j.h.send.Probe(context.Background(), m)
-	if err != nil && !overslept(upstream.DialTimeout, clock.Now().Sub(begun)) {
-		j.failed(m, cause, err)
+	if err != nil && overslept(upstream.DialTimeout, clock.Now().Sub(begun)) {
+		return nil // this process stood still: the answer may wait to be read
 	}
+	return err
 }
 
 // suspect asks a target whose answer broke off for a connection. A single
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -17,9 +17,12 @@
 	// target is waited for; usualGap stands where the route does not say.
 	usualGap = 700 * time.Millisecond
 	// probeShare of that is the silence after which the target is asked for
-	// a connection. Events come every 35 to 50 ms, and every 300 ms while
-	// the engine reads a prompt beside the stream.
+	// a connection while it reads a prompt: the events of streams beside it
+	// come every 280 ms then. Otherwise they come every 35 to 50 ms, and
+	// calmShare is enough: a target without power is known as lost after
+	// 300 ms, the 150 ms included in which its connection is waited for.
 	probeShare = 0.43
+	calmShare  = 0.21
 	// moveShare of it is the silence after which a stream with a copy moves
 	// though its target still takes connections: going on from a copy takes
 	// some 50 ms.
@@ -55,6 +58,7 @@
 		firstBy time.Duration // after so long without an answer it is lost
 		started func()        // to be called at the first event
 		news    chan news
+		asked   chan asked
 		events  int
 		fresh   int // numbered events that the caller did not have yet
 		// answered: the answer's head has come. Engines send it when they
@@ -62,6 +66,12 @@
 		answered bool
 	}
 
+	// asked is what asking a run's target for a connection has shown.
+	asked struct {
+		at  clock.Time
+		err error
+	}
+
 	// news is what a run's reader reports: a head, an event or an end.
 	news struct {
 		reply *Reply
@@ -106,8 +116,9 @@
 
 // watch passes events on until the run ends, or its target falls silent.
 func (r *run) watch(ctx context.Context) error {
+	s := r.s
 	lost := r.m.Health().Lost()
-	wait, set := r.probeAfter(), clock.Now()
+	wait, set := r.calm(), clock.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	if !r.movable() {
@@ -132,6 +143,10 @@
 					return err
 				}
 			}
+		case a := <-r.asked:
+			if a.at > r.heard {
+				s.failed(r.m, health.CauseSilent, a.err)
+			}
 		case <-lost:
 			return errLost
 		case <-timer.C:
@@ -140,7 +155,7 @@
 				r.heard = now
 			}
 			quiet := now.Sub(r.heard)
-			if r.check(quiet) {
+			if r.check(ctx, quiet) {
 				return errSilent
 			}
 			wait, set = r.nextCheck(quiet), now
@@ -165,7 +180,7 @@
 
 // check looks at a run that has been quiet for so long, and reports whether
 // it has to move.
-func (r *run) check(quiet time.Duration) bool {
+func (r *run) check(ctx context.Context, quiet time.Duration) bool {
 	probe, move := r.probeAfter(), time.Duration(moveShare*float64(r.gap))
 	switch {
 	case !r.answered && r.from == nil:
@@ -184,19 +199,40 @@
 	}
 	if quiet >= probe && clock.Now().Sub(r.probed) >= probe {
 		r.probed = clock.Now()
-		go r.s.probe(r.m, health.CauseSilent)
+		go r.ask(ctx, r.probed)
 	}
 	return false
 }
 
+// ask asks the run's target for a connection, and tells the run if there is
+// none. The run decides: its target may have been heard meanwhile.
+func (r *run) ask(ctx context.Context, at clock.Time) {
+	err := r.s.ask(r.m)
+	if err == nil {
+		return
+	}
+	select {
+	case r.asked <- asked{at: at, err: err}:
+	case <-ctx.Done():
+	}
+}
+
 // probeAfter is the silence after which the run's target is asked for a
 // connection.
-func (r *run) probeAfter() time.Duration { return time.Duration(probeShare * float64(r.gap)) }
+func (r *run) probeAfter() time.Duration {
+	if r.m.Work().All().Prefill == 0 {
+		return r.calm()
+	}
+	return time.Duration(probeShare * float64(r.gap))
+}
+
+// calm is that silence while the target reads no prompt.
+func (r *run) calm() time.Duration { return time.Duration(calmShare * float64(r.gap)) }
 
 // nextCheck is when a quiet run is to be looked at again.
 func (r *run) nextCheck(quiet time.Duration) time.Duration {
 	if probe := r.probeAfter(); quiet < probe {
-		return probe - quiet
+		return min(probe-quiet, r.calm()) // it may have read its prompts by then
 	}
 	return checkEvery
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -191,7 +191,7 @@
 	s.h.tell()
 	defer done()
 	s.sends++
-	r := &run{s: s, m: m, from: from, begun: now, heard: now, gap: s.gap(), firstBy: firstBy, started: started, news: make(chan news, pendingEvents)}
+	r := &run{s: s, m: m, from: from, begun: now, heard: now, gap: s.gap(), firstBy: firstBy, started: started, news: make(chan news, pendingEvents), asked: make(chan asked)}
 	go r.read(ctx, o)
 	return r, r.watch(ctx)
 }
