Where prompts were read is kept in the store

Cause: when all instances are killed at once their callers come back within moments, but nobody knows any more which engines hold their prompts: a stream's home by hashing is right for a part of them only, and the others are read again, a second each, in one queue. Change: each instance writes the places of its last 30 s to its row of the table places, every 2 s if there is news, and reads all rows when it starts. places_kept.txtar (fails without it): four streams of a killed instance come back to a new one of another zone, and each goes to its engine.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -139,6 +139,7 @@
 	defer stop()
 	p := pool.New().WithContext(life).WithCancelOnError()
 	i.follow(p)
+	p.Go(i.keepPlaces)
 	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
 	i.serve(p, ready, platform.Ready(i.Ready))
 	i.serveInternal(p)
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -20,6 +20,9 @@
 	maxPlaces = 2048
 	// maxNews bounds what is kept to be told to other instances.
 	maxNews = 256
+	// maxLatest bounds what is kept for an instance that starts anew: twice
+	// the streams that one instance begins within keep.
+	maxLatest = 64
 )
 
 type (
@@ -91,6 +94,20 @@
 	return m.addr
 }
 
+// Latest are this instance's own notes that still count, and how many notes
+// it has ever made.
+func (r *Recall) Latest(now clock.Time) ([]Place, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Place
+	for _, p := range r.news[max(0, len(r.news)-maxLatest):] {
+		if m, ok := r.place[p.Subject]; ok && m.addr == p.Addr && now.Sub(m.at) <= keep {
+			out = append(out, p)
+		}
+	}
+	return out, r.total
+}
+
 // Since returns the own notes after the first n, as far as they are still
 // kept, and how many there have been.
 func (r *Recall) Since(n uint64) ([]Place, uint64) {
