No error of the product's own entry and agent is swallowed

Cause: failed lease renewals, checkpoints that were not read or written, claim rows that could not be read and answers that could not be sent left no line; a lease row that could not be read counted as epoch 0, and a claim row as free. Change: each is logged with its request, or returned: an unreadable claim is an unknown outcome, an unreadable lease is not taken over. Writing a stream's events stands in a type of its own; its first error ends the answer.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -186,7 +186,9 @@
 		}
 		for _, c := range conns {
 			sctx, cancel := context.WithTimeout(ctx, time.Second)
-			c.Send(sctx, m)
+			if err := c.Send(sctx, m); err != nil {
+				a.log.Debug().Err(err).Msg("agent: load report not sent; its entry reads none")
+			}
 			cancel()
 		}
 	}
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -74,7 +74,7 @@
 	}
 	a.mu.Unlock()
 	for _, r := range refs {
-		r.conn.Send(ctx, wire.Message{Type: wire.TypeFail, RequestID: r.m.RequestID, Attempt: r.m.Attempt, Reason: "moved: target draining"})
+		a.tell(ctx, r.conn, wire.Message{Type: wire.TypeFail, RequestID: r.m.RequestID, Attempt: r.m.Attempt, Reason: "moved: target draining"})
 		r.cancel()
 	}
 	a.log.Info().Int("moved", len(refs)).Msgf("agent: moved %d orders to other targets", len(refs))
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -63,7 +63,9 @@
 	case !row.Expired:
 		return nil // held by someone else until it lapses
 	default:
-		old, _ = DecodeLease(row.Value)
+		if old, err = DecodeLease(row.Value); err != nil {
+			return err // its epoch is not known, so no higher one can be taken
+		}
 	}
 	epoch = old.Epoch + 1
 	row, err = a.pf.Put(ctx, key, row.Version, a.value(epoch), ttl)
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -89,8 +89,16 @@
 	return e, e == 0 || m.Fencing != e
 }
 
+// tell sends the last word on an order. Where its entry's connection is gone
+// the entry knows that itself.
+func (a *Agent) tell(ctx context.Context, c *wire.Conn, m wire.Message) {
+	if err := c.Send(ctx, m); err != nil {
+		a.log.Info().Str("request", m.RequestID).Int("attempt", m.Attempt).Str("type", m.Type.String()).Err(err).Msg("agent: answer not sent")
+	}
+}
+
 func (a *Agent) fail(ctx context.Context, c *wire.Conn, m wire.Message, reason string, fenced bool) {
-	c.Send(ctx, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: reason, Fenced: fenced})
+	a.tell(ctx, c, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: reason, Fenced: fenced})
 }
 
 // relay runs one generation attempt on the engine and streams its tokens.
@@ -112,7 +120,7 @@
 	for {
 		tok, err := s.Next()
 		if errors.Is(err, io.EOF) {
-			c.Send(ctx, wire.Message{Type: wire.TypeDone, RequestID: m.RequestID, Attempt: m.Attempt, Offset: off})
+			a.tell(ctx, c, wire.Message{Type: wire.TypeDone, RequestID: m.RequestID, Attempt: m.Attempt, Offset: off})
 			return
 		}
 		if err != nil {
@@ -141,5 +149,5 @@
 		a.fail(ctx, c, m, err.Error(), false)
 		return
 	}
-	c.Send(ctx, wire.Message{Type: wire.TypeResult, RequestID: m.RequestID, Attempt: m.Attempt, Answer: res.Answer})
+	a.tell(ctx, c, wire.Message{Type: wire.TypeResult, RequestID: m.RequestID, Attempt: m.Attempt, Answer: res.Answer})
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -95,9 +95,10 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	var cur onceRow
-	json.Unmarshal(row.Value, &cur)
+	cur, err := decodeOnce(row)
 	switch {
+	case err != nil:
+		return Answer{}, err
 	case cur.State == stateDone:
 		return Answer{Text: cur.Answer, Replayed: true}, nil
 	case cur.Claim != claim:
@@ -145,8 +146,10 @@
 		if !errors.Is(err, platform.ErrConflict) {
 			return platform.Row{}, fmt.Errorf("%w: %v", ErrNotRun, err)
 		}
-		var cur onceRow
-		json.Unmarshal(row.Value, &cur)
+		cur, err := decodeOnce(row)
+		if err != nil {
+			return platform.Row{}, err
+		}
 		if cur.State != stateReleased {
 			return row, nil
 		}
@@ -155,6 +158,15 @@
 	return platform.Row{}, fmt.Errorf("%w: claim raced too often", ErrNotRun)
 }
 
+// decodeOnce reads a claim row. One that cannot be read may be anybody's: the
+// call is not run under its key.
+func decodeOnce(row platform.Row) (v onceRow, err error) {
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return v, fmt.Errorf("%w: claim row %s not understood: %v", ErrUnknownOutcome, row.Key, err)
+	}
+	return v, nil
+}
+
 // settle records a call's outcome on its claim; it keeps trying in the
 // background while the table is down, since a repeat must find it.
 func (e *Entry) settle(key string, version int64, v onceRow) {
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -46,15 +46,17 @@
 	key := entryLeases + e.self.Name
 	ttl := settings.Ms(e.cfg.Timeouts.LeaseMs)
 	var version int64
+	held := true // assumed, so that the first failure is logged
 	t := time.NewTicker(settings.Ms(e.cfg.Timeouts.HeartbeatMs))
 	defer t.Stop()
 	for {
 		r, err := e.pf.Put(ctx, key, version, map[string]string{"entry": e.self.Name}, ttl)
-		switch {
-		case err == nil:
-			version = r.Version
-		case errors.Is(err, platform.ErrConflict):
-			version = r.Version // a restart of this entry: take the row over
+		if err == nil || errors.Is(err, platform.ErrConflict) {
+			version = r.Version // after a conflict: a restart of this entry, the row is taken over
+		}
+		if ok := err == nil; ok != held && ctx.Err() == nil {
+			held = ok
+			e.log.Warn().Bool("renewed", ok).Int64("version", version).AnErr("cause", err).Msg("entry: lease renewal changed")
 		}
 		select {
 		case <-ctx.Done():
@@ -68,9 +70,7 @@
 func (s *Stream) savePrompt(ctx context.Context) {
 	v := promptValue{Org: s.req.Org(), Model: s.req.Model(), Prompt: s.prompt, MaxTokens: s.req.MaxTokens(),
 		Seed: s.req.Seed(), Priority: s.req.Priority()}
-	b, _ := json.Marshal(v)
-	if err := s.e.pf.PutObject(ctx, promptObject+s.req.ID(), b); err != nil {
-		s.e.stats.TableErrors.Add(1)
+	if err := s.putObject(ctx, promptObject, v); err != nil {
 		return
 	}
 	s.mu.Lock()
@@ -92,15 +92,13 @@
 	}
 	s.saving = true
 	go func() {
-		b, _ := json.Marshal(v)
-		ctx, cancel := context.WithTimeout(s.e.base(), time.Second)
-		err := s.e.pf.PutObject(ctx, tokensObject+s.req.ID(), b)
+		ctx, cancel := context.WithTimeout(s.e.base(), storeTime)
+		err := s.putObject(ctx, tokensObject, v)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.saving = false
 		if err != nil {
-			s.e.stats.TableErrors.Add(1)
 			return
 		}
 		s.saved, s.savedAt = n, time.Now()
@@ -110,6 +108,33 @@
 	}()
 }
 
+// putObject writes one of the stream's checkpoints.
+func (s *Stream) putObject(ctx context.Context, prefix string, v any) error {
+	b, err := json.Marshal(v)
+	if err == nil {
+		err = s.e.pf.PutObject(ctx, prefix+s.req.ID(), b)
+	}
+	if err != nil {
+		s.e.stats.TableErrors.Add(1)
+		s.log.Debug().Err(err).Str("object", prefix).Msg("resume: checkpoint not written; written with the next one")
+	}
+	return err
+}
+
+// tokensOf reads a stream's checkpointed tokens; without them the answer is
+// generated again from its start.
+func (e *Entry) tokensOf(ctx context.Context, id string) (v tokensValue) {
+	b, err := e.pf.GetObject(ctx, tokensObject+id)
+	if err == nil {
+		err = json.Unmarshal(b, &v)
+	}
+	if err != nil {
+		e.log.Info().Str("request", id).Err(err).Msg("resume: no checkpoint of tokens; the answer is generated again")
+		return tokensValue{}
+	}
+	return v
+}
+
 // adopt continues a stream whose entry is gone: it takes the request row
 // over with a conditional write, reads the checkpoints, and drives the
 // stream from the checkpointed prefix with the next attempt number. A
@@ -137,10 +162,7 @@
 	if err := json.Unmarshal(pb, &pv); err != nil {
 		return nil, fmt.Errorf("%w: %s: bad prompt checkpoint", ErrUnknownStream, id)
 	}
-	var tv tokensValue
-	if tb, err := e.pf.GetObject(ctx, tokensObject+id); err == nil {
-		json.Unmarshal(tb, &tv)
-	}
+	tv := e.tokensOf(ctx, id)
 	req := ragworthitch.NewRequest(ragworthitch.RequestParams{ID: id, Org: pv.Org, Model: pv.Model,
 		Kind: ragworthitch.KindLong, MaxTokens: pv.MaxTokens, Seed: pv.Seed, Priority: pv.Priority})
 	s := newStream(e, req, pv.Prompt)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,9 @@
 // Name is the entry's name.
 func (e *Entry) Name() string { return e.self.Name }
 
+// Log is the entry's log.
+func (e *Entry) Log() *zerolog.Logger { return &e.log }
+
 // Stats returns the entry's counters.
 func (e *Entry) Stats() *Stats { return &e.stats }
 
--- a/handlers/caller.go
+++ b/handlers/caller.go
@@ -94,44 +94,39 @@
 	c.stream(w, r, s, from)
 }
 
+// stream sends a stream's tokens after the first so many, as they come.
 func (c caller) stream(w http.ResponseWriter, r *http.Request, s *entry.Stream, from int) {
-	fl, _ := w.(http.Flusher)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-cache")
 	w.Header().Set(HeaderRequestID, s.Request().ID())
 	w.WriteHeader(http.StatusOK)
-	if fl != nil {
-		fl.Flush()
-	}
-	for {
+	out := events{w: w, flush: http.NewResponseController(w).Flush}
+	out.send()
+	for out.err == nil {
 		toks, done, err := s.Next(r.Context(), from)
 		if r.Context().Err() != nil {
 			return
 		}
 		for _, t := range toks {
-			d, _ := json.Marshal(tokenEvent{Text: t.Text(), Attempt: t.Attempt()})
-			fmt.Fprintf(w, "id: %d\nevent: token\ndata: %s\n\n", t.Offset(), d)
+			out.add("token", t.Offset(), tokenEvent{Text: t.Text(), Attempt: t.Attempt()})
 		}
 		from += len(toks)
-		if done {
-			if err != nil {
-				// Given up: the final answer goes out at once, with when
-				// to come back.
-				d, _ := json.Marshal(errorBody{Error: err.Error(), RetryAfterS: c.retryAfter()})
-				fmt.Fprintf(w, "event: error\ndata: %s\n\n", d)
-			} else {
-				d, _ := json.Marshal(doneEvent{Tokens: from, Attempts: s.Attempts()})
-				fmt.Fprintf(w, "event: done\ndata: %s\n\n", d)
-			}
-			if fl != nil {
-				fl.Flush()
-			}
-			return
+		switch {
+		case done && err != nil:
+			// Given up: the final answer goes out at once, with when to
+			// come back.
+			out.add("error", noID, errorBody{Error: err.Error(), RetryAfterS: c.retryAfter()})
+		case done:
+			out.add("done", noID, doneEvent{Tokens: from, Attempts: s.Attempts()})
 		}
-		if fl != nil {
-			fl.Flush()
+		out.send()
+		if done {
+			break
 		}
 	}
+	if out.err != nil {
+		c.e.Log().Info().Str("request", s.Request().ID()).Int("tokens", from).Err(out.err).Msg("entry: caller left; the stream goes on for it")
+	}
 }
 
 // call runs a short plain service call.
