Dropped log lines and lossy ways are counted in the metrics

Cause: dropped lines showed only as a line, which a reader of the metrics does not see; a failing standard output was not noticed at all. Change: log_lines_dropped and ways_lossy; the line of a lossy way carries the weight of its stalls.

--- a/cmd/ragworthitch/serve.go
+++ b/cmd/ragworthitch/serve.go
@@ -35,7 +35,10 @@
 	if err != nil {
 		return fail(oops.In("serve").With("file", os.Getenv(platform.BootEnv)).Wrap(err))
 	}
-	w, flush := logs.Bounded(os.Stdout)
+	scope, rep, closeScope := metrics.New(boot.Node())
+	defer closeScope()
+	dropped := scope.Counter("log_lines_dropped")
+	w, flush := logs.Bounded(os.Stdout, func() { dropped.Inc(1) })
 	defer flush()
 	log := logs.New(w, boot.Node(), boot.Zone(), c.level)
 	// What net/http reports by itself (broken connections, answers that
@@ -43,8 +46,6 @@
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.With().Str("level", "info").Logger())
 	go reloadOnHangup(ctx, hup, log)
-	scope, rep, closeScope := metrics.New(boot.Node())
-	defer closeScope()
 	if err := instance.New(boot, log, scope, rep.Text()).Run(ctx); err != nil {
 		log.Error().Err(err).Msg("instance: ended")
 		return subcommands.ExitFailure
--- a/health/links.go
+++ b/health/links.go
@@ -51,16 +51,21 @@
 	return before < 0.5 && w.loss(now) >= 0.5
 }
 
-// Loss is how sure it is, from 0 to 1, that the way to a zone loses packets.
-func (l *Links) Loss(zone string, now clock.Time) float64 {
+// Stalls is the weight of the stalls on the way to a zone.
+func (l *Links) Stalls(zone string, now clock.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w := l.ways[zone]; w != nil {
-		return w.loss(now)
+		return w.weight(now)
 	}
 	return 0
 }
 
+// Loss is how sure it is, from 0 to 1, that the way to a zone loses packets.
+func (l *Links) Loss(zone string, now clock.Time) float64 {
+	return min(1, l.Stalls(zone, now)/certainStalls)
+}
+
 func (w *way) loss(now clock.Time) float64 { return min(1, w.weight(now)/certainStalls) }
 
 // weight is the weight of the stalls so far.
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -255,7 +255,8 @@
 	if r.late && gap <= bunchGap {
 		zone := r.m.Target().Zone()
 		if r.s.h.links.Stalled(zone, at) {
-			r.s.h.log.Warn().Str("request", r.s.c.ID).Str("target", r.m.Target().ID()).Str("targetZone", zone).Msg("health: the way to a zone loses packets")
+			r.s.h.stats.waysLossy.Inc(1)
+			r.s.h.log.Warn().Str("request", r.s.c.ID).Str("target", r.m.Target().ID()).Str("targetZone", zone).Float64("stalls", r.s.h.links.Stalls(zone, at)).Msg("health: the way to a zone loses packets")
 		}
 	}
 	r.late = r.last != 0 && gap >= stallGap
--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -33,6 +33,7 @@
 type bounded struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	count   func()
 
 	mu     sync.Mutex
 	second int64
@@ -41,14 +42,20 @@
 
 // Bounded returns a writer to w that never blocks and passes on a bounded
 // number of lines a second; a line with the count of dropped ones follows
-// when there is room again. flush waits a little for what is pending.
-func Bounded(w io.Writer) (out io.Writer, flush func()) {
-	b := &bounded{lines: make(chan []byte, pendingLines)}
+// when there is room again. count, unless nil, is called for each line that w
+// does not get. flush waits a little for what is pending.
+func Bounded(w io.Writer, count func()) (out io.Writer, flush func()) {
+	if count == nil {
+		count = func() {}
+	}
+	b := &bounded{lines: make(chan []byte, pendingLines), count: count}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for line := range b.lines {
-			w.Write(line)
+			if _, err := w.Write(line); err != nil {
+				b.drop() // nobody else is left to be told
+			}
 			if n := b.dropped.Swap(0); n > 0 {
 				fmt.Fprintf(w, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"logs: lines dropped\"}\n", n)
 			}
@@ -76,13 +83,18 @@
 	}
 	b.sent++
 	if b.sent > linesPerSecond || b.lines == nil || b.sent > usualLines && isUsual(line) {
-		b.dropped.Add(1)
+		b.drop()
 		return len(line), nil
 	}
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
-		b.dropped.Add(1)
+		b.drop()
 	}
 	return len(line), nil
 }
+
+func (b *bounded) drop() {
+	b.dropped.Add(1)
+	b.count()
+}
--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +36,7 @@
 func TestFailuresFindRoom(t *testing.T) {
 	w := &slowWriter{release: make(chan struct{})}
 	close(w.release)
-	out, flush := Bounded(w)
+	out, flush := Bounded(w, nil)
 	for time.Now().Nanosecond() > int(700*time.Millisecond) {
 		time.Sleep(10 * time.Millisecond) // not across two seconds
 	}
@@ -60,7 +61,8 @@
 // counted in a line.
 func TestBoundedNeverBlocks(t *testing.T) {
 	slow := &slowWriter{release: make(chan struct{})}
-	out, flush := Bounded(slow)
+	var counted atomic.Int64
+	out, flush := Bounded(slow, func() { counted.Add(1) })
 	begun := time.Now()
 	for i := range 5 * pendingLines {
 		fmt.Fprintf(out, "line %d\n", i)
@@ -71,5 +73,6 @@
 	flush()
 	assert.Contains(t, slow.String(), "line 0\n")
 	assert.LessOrEqual(t, strings.Count(slow.String(), "line "), 2*linesPerSecond)
+	assert.Positive(t, counted.Load())
 	fmt.Fprintln(out, "after the end") // dropped, not a panic
 }
