A draining target's refusal counts as not run; one way to serve a call off the wire

Cause: an agent that drains refuses calls before its target sees them, but said so only for fenced ones, so a quote that had certainly not run got "unknown outcome" and could never run under its key. Three places caught the end of a cut answer. Change: the refusal says not run (wire.Message.NotRun, Fenced before), the claim is given back and the key runs later, once (TestRefusedCallRunsLater, which fails with the old flag). ingress.Handler.ServeWhole serves callers that are no connections, for entry, the experiment and the tests.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -90,7 +90,7 @@
 	for _, f := range []uint64{1, 2} {
 		m := order(t, old, f)
 		assert.Equal(t, wire.TypeFail, m.Type, "the old holder acted on fencing number %d", f)
-		assert.True(t, m.Fenced)
+		assert.True(t, m.NotRun)
 	}
 	assert.Equal(t, wire.TypeToken, order(t, next, 2).Type)
 	assert.Equal(t, wire.TypeFail, order(t, next, 1).Type, "an order with the old number is refused")
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -62,7 +62,7 @@
 					scancel()
 				}()
 				if !a.track(k, relayRef{cancel: scancel, conn: c, m: m}) {
-					a.fail(sctx, c, m, "target draining", false)
+					a.fail(sctx, c, m, "target draining", true)
 					return
 				}
 				defer a.untrack(k)
@@ -97,8 +97,10 @@
 	}
 }
 
-func (a *Agent) fail(ctx context.Context, c *wire.Conn, m wire.Message, reason string, fenced bool) {
-	a.tell(ctx, c, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: reason, Fenced: fenced})
+// fail ends an order without a result; notRun promises that the target never
+// saw it.
+func (a *Agent) fail(ctx context.Context, c *wire.Conn, m wire.Message, reason string, notRun bool) {
+	a.tell(ctx, c, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: reason, NotRun: notRun})
 }
 
 // relay runs one generation attempt on the engine and streams its tokens.
--- a/entry/call.go
+++ b/entry/call.go
@@ -76,7 +76,7 @@
 	var r result
 	c := &ingress.Call{ID: req.ID(), Method: http.MethodPost, Path: path + req.Op(), Key: req.Org(),
 		Header: http.Header{headerIdempotencyKey: {req.IdempotencyKey()}}, Received: clock.Now()}
-	switch whole := e.serve(ctx, &r, c); {
+	switch whole := e.life.ServeWhole(ctx, &r, c); {
 	case !whole:
 		return "", fmt.Errorf("%w: the caller left", ErrUnknownOutcome)
 	case r.status == http.StatusOK:
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -64,3 +64,20 @@
 	assert.True(t, errors.Is(err, entry.ErrNotRun), "got %v", err)
 	assert.Equal(t, 0, svc.Runs("k2"))
 }
+
+// A target that drains refuses a call without running it: the caller is told
+// so, and the same key runs later, once.
+func TestRefusedCallRunsLater(t *testing.T) {
+	p, svc, e := startDesk(t)
+	svc.Busy.Store(true)
+	_, err := e.Call(context.Background(), quote("q1", "k3"))
+	assert.ErrorIs(t, err, entry.ErrNotRun)
+	require.Eventually(t, func() bool {
+		r, ok := p.StandIn.Get("once/k3")
+		return ok && strings.Contains(string(r.Value), `"state":"released"`)
+	}, time.Second, 10*time.Millisecond, "the claim was not given back")
+	svc.Busy.Store(false)
+	_, err = e.Call(context.Background(), quote("q2", "k3"))
+	require.NoError(t, err)
+	assert.Equal(t, 1, svc.Runs("k3"))
+}
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -65,7 +65,7 @@
 	switch {
 	case r.Type == wire.TypeResult:
 		return &ingress.Reply{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(r.Answer)), Sized: true}, nil
-	case r.Fenced:
+	case r.NotRun:
 		return &ingress.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody, Sized: true}, nil
 	}
 	return nil, fmt.Errorf("%w: %s", upstream.ErrSent, r.Reason)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -199,7 +199,7 @@
 	}
 	go func() {
 		defer cancel()
-		whole := s.e.serve(ctx, s, c)
+		whole := s.e.life.ServeWhole(ctx, s, c)
 		s.ended(ctx, whole)
 	}()
 }
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -113,7 +113,7 @@
 		call.After = strconv.Itoa(c.got)
 	}
 	c.mu.Unlock()
-	whole := in.serve(ctx, a, call)
+	whole := in.handler.ServeWhole(ctx, a, call)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reset = nil
--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -112,17 +111,6 @@
 	}
 }
 
-// serve serves one call and reports whether its answer is whole.
-func (in *instance) serve(ctx context.Context, w http.ResponseWriter, c *ingress.Call) (whole bool) {
-	defer func() {
-		if r := recover(); r != nil && r != http.ErrAbortHandler {
-			panic(r)
-		}
-	}()
-	in.handler.Serve(ctx, w, c)
-	return true
-}
-
 // around spreads a mean by a share of it, evenly.
 func around(rng *rand.Rand, mean int, share float64) int {
 	return int(float64(mean) * (1 + share*(2*rng.Float64()-1)))
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -142,6 +142,19 @@
 	newStream(j).run(ctx)
 }
 
+// ServeWhole serves one call whose caller is no HTTP connection, and reports
+// whether the answer is complete. Serve ends an answer that must not look
+// complete as net/http's handlers do, by a panic with http.ErrAbortHandler.
+func (h *Handler) ServeWhole(ctx context.Context, w http.ResponseWriter, c *Call) (whole bool) {
+	defer func() {
+		if r := recover(); r != nil && r != http.ErrAbortHandler {
+			panic(r)
+		}
+	}()
+	h.Serve(ctx, w, c)
+	return true
+}
+
 // deny answers a call that the state in force does not allow, or that cannot
 // be judged now.
 func (h *Handler) deny(w http.ResponseWriter, c *Call, g desired.Grant, err error) {
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -124,16 +124,7 @@
 // serve serves one call and says whether the answer was cut.
 func serve(h *Handler, c *Call) (w *httptest.ResponseRecorder, cut bool) {
 	w = httptest.NewRecorder()
-	defer func() {
-		if p := recover(); p != nil {
-			if p != http.ErrAbortHandler {
-				panic(p)
-			}
-			cut = true
-		}
-	}()
-	h.Serve(context.Background(), w, c)
-	return w, cut
+	return w, !h.ServeWhole(context.Background(), w, c)
 }
 
 var eventForm = regexp.MustCompile(`^id: (\d+)\ndata: ([^/]+)/(\d+)\n\n`)
--- a/rwtest/rwtest.go
+++ b/rwtest/rwtest.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 		Step  time.Duration
 		Hook  func(m wire.Message, offset int) Action
 		Epoch uint64
+		Busy  atomic.Bool // refuses calls: not run
 
 		mu     sync.Mutex
 		starts []wire.Message
@@ -95,6 +97,10 @@
 		if err != nil {
 			return
 		}
+		if m.Type == wire.TypeCall && a.Busy.Load() {
+			c.Send(ctx, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: "draining", NotRun: true})
+			continue
+		}
 		if m.Type == wire.TypeCall {
 			a.mu.Lock()
 			if a.runs == nil {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -80,7 +80,7 @@
 
 		// Fail
 		Reason string
-		Fenced bool
+		NotRun bool // the order was refused before it reached the target
 
 		// Load
 		Running int
@@ -152,7 +152,7 @@
 		M: m.Model, P: m.Prompt, Max: m.MaxTokens, Pri: m.Priority, S: m.Seed, Pre: m.Prefix,
 		O: m.Offset, X: m.Text,
 		Op: m.Op, Org: m.Org, K: m.IdempotencyKey, Ans: m.Answer,
-		R: m.Reason, Fd: m.Fenced,
+		R: m.Reason, Fd: m.NotRun,
 		Run: m.Running, W: m.Waiting, At: m.AtMs, H: m.Healthy,
 	})
 }
@@ -174,7 +174,7 @@
 		Model: f.M, Prompt: f.P, MaxTokens: f.Max, Priority: f.Pri, Seed: f.S, Prefix: f.Pre,
 		Offset: f.O, Text: f.X,
 		Op: f.Op, Org: f.Org, IdempotencyKey: f.K, Answer: f.Ans,
-		Reason: f.R, Fenced: f.Fd,
+		Reason: f.R, NotRun: f.Fd,
 		Running: f.Run, Waiting: f.W, AtMs: f.At, Healthy: f.H,
 	}, nil
 }
