--- a/entry/record.go
+++ b/entry/record.go
@@ -9,19 +9,27 @@
 	"github.com/ragworthitch/ragworthitch/platform"
 )
 
-// durableRetry is how often writes the store refused are tried again.
-const durableRetry = 200 * time.Millisecond
+const (
+	// durableRetry is how often writes that the store refused are tried
+	// again.
+	durableRetry = 200 * time.Millisecond
+	// rowTime bounds a write of a request's row: an attempt waits for it
+	// before its engine hears of it, half of the time after which a silent
+	// attempt is given up.
+	rowTime = 300 * time.Millisecond
+)
 
 // record writes the request's row with a conditional write on the version
 // this stream last wrote. A conflict means another entry holds the request.
 // When the table is down the stream goes on and the row is written later.
+// What goes wrong is logged here.
 func (s *Stream) record(ctx context.Context, state string) error {
 	s.mu.Lock()
 	row := requestRow{Entry: s.e.self.Name, Attempt: s.attempt, Target: s.target, Delivered: len(s.tokens), State: state}
 	version := s.version
 	s.mu.Unlock()
 	s.e.stats.TableWrites.Add(1)
-	wctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	wctx, cancel := context.WithTimeout(ctx, rowTime)
 	defer cancel()
 	r, err := s.e.pf.Put(wctx, requestTable+s.req.ID(), version, row, 0)
 	if errors.Is(err, platform.ErrConflict) && ownRow(r.Value, s.e.self.Name) {
@@ -37,6 +45,7 @@
 	}
 	if err != nil {
 		s.e.stats.TableErrors.Add(1)
+		s.log.Info().Err(err).Str("state", state).Int("attempt", row.Attempt).Int64("version", version).Msg("resume: request row not written")
 		if errors.Is(err, platform.ErrUnavailable) {
 			s.mu.Lock()
 			s.rowDirty, s.rowState = true, state
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -213,7 +213,7 @@
 	switch {
 	case whole && status == http.StatusOK:
 		s.finish(nil)
-		s.settle(stateDone)
+		s.record(s.e.base(), stateDone)
 	case s.e.base().Err() != nil:
 		s.finish(ctx.Err())
 	case s.Attempts() == 0:
@@ -223,19 +223,11 @@
 		s.log.Error().Int("attempts", s.Attempts()).Int("delivered", s.delivered()).Msg("resume: gave up, no attempt left")
 		s.finish(ErrGaveUp)
 		if ctx.Err() == nil {
-			s.settle(stateFailed)
+			s.record(s.e.base(), stateFailed)
 		}
 	}
 }
 
-// settle writes the last state of the request's row; keepDurable writes it
-// again if the store is down.
-func (s *Stream) settle(state string) {
-	if err := s.record(s.e.base(), state); err != nil {
-		s.log.Warn().Err(err).Str("state", state).Msg("resume: last state not written")
-	}
-}
-
 // begin numbers a new attempt and returns the tokens it goes on from.
 func (s *Stream) begin(target string) (attempt int, prefix []string) {
 	s.mu.Lock()
