--- a/admit/admit.go
+++ b/admit/admit.go
@@ -14,14 +14,15 @@
 	// eventPace is the shortest time between two events of 10 tokens: a step
 	// of an engine that runs nothing else takes 2.6 ms a token.
 	eventPace = 27 * time.Millisecond
+	// UsualOutput is the part of the most tokens asked for that answers
+	// usually have.
+	UsualOutput = 0.75
 	// usualPace is the usual time between two events, beside two other
-	// streams, and usualOutput the part of the most tokens asked for that
-	// answers usually have. Streams that a leaving instance takes are judged
-	// by them: one that is cut after all goes on within 0.1 s at the instance
-	// that its caller turns to, one that is refused may find no other. At 38
-	// and 48 ms, more refused, rolling restarts served 0.008 and 0.05 less.
-	usualPace   = 30 * time.Millisecond
-	usualOutput = 0.75
+	// streams. Streams that a leaving instance takes are judged by it: one
+	// that is cut after all goes on within 0.1 s at the instance that its
+	// caller turns to, one that is refused may find no other. With 38 and 48
+	// ms, and so more refused, rolling restarts served 0.008 and 0.05 less.
+	usualPace = 30 * time.Millisecond
 	// shortOutput is the part of the most tokens asked for that the shorter
 	// answers have; nine of ten are longer.
 	shortOutput = 0.55
@@ -41,7 +42,7 @@
 func (s Stream) Needs() time.Duration { return s.takes(shortOutput, eventPace) }
 
 // Likely is the time that the stream usually takes.
-func (s Stream) Likely() time.Duration { return s.takes(usualOutput, usualPace) }
+func (s Stream) Likely() time.Duration { return s.takes(UsualOutput, usualPace) }
 
 // takes is the time for a part of the most tokens asked for, at a pace.
 func (s Stream) takes(output float64, pace time.Duration) time.Duration {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -29,10 +29,6 @@
 	lateMarginLast = 3 * time.Second
 	// startTime is what a first event takes besides the reading of prompts.
 	startTime = 100 * time.Millisecond
-
-	// usualOutput is the part of the most tokens asked for that an answer
-	// usually has.
-	usualOutput = 0.75
 )
 
 // stream is a streamed call in progress, over all its runs.
@@ -235,7 +231,7 @@
 
 // size is the memory that the stream takes at an engine when it is done, in
 // tokens: its prompt and an answer of the usual share of what it may generate.
-func (s *stream) size() int { return s.c.Prompt + int(usualOutput*float64(s.c.Output)) }
+func (s *stream) size() int { return s.c.Prompt + int(admit.UsualOutput*float64(s.c.Output)) }
 
 // logSend writes the line of the choice of a target.
 func (s *stream) logSend(m, from *registry.Member, o *Order) {
