From reading the change: two faults of the one request life, and twins made one

TestRepeatableCallFailed. - An attempt whose reply was given up before its events were read was neither cancelled at its agent nor taken out of the orders that wait: the clean-up stood in the reading of events. It stands in the closing of the reply's body now (ingress.EmptyBody), which is done in every case; the emulator's run stops the same way. Twins: the emulator's pause was clock.Sleep; a crash and a restart each ended all runs; the error of an agent that is not connected and the loss that a weight of stalls means were written twice. Nothing else behaves differently; no bound was touched.

--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
@@ -100,10 +101,10 @@
 	case Down:
 		return fmt.Errorf("%w: %w", upstream.ErrNotSent, errTakesNone)
 	case Dark:
-		pause(ctx, upstream.DialTimeout)
+		clock.Sleep(ctx, upstream.DialTimeout)
 		return fmt.Errorf("%w: %w", upstream.ErrNotSent, errTakesNone)
 	}
-	pause(ctx, wayThere)
+	clock.Sleep(ctx, wayThere)
 	return nil
 }
 
@@ -129,7 +130,7 @@
 		return nil, fmt.Errorf("%w: %v", upstream.ErrSent, run.Err())
 	}
 	events := func(emit func(ingress.Event) bool) error { return c.follow(ctx, p, run, emit) }
-	return &ingress.Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: http.NoBody, Sized: true, Events: events}, nil
+	return &ingress.Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: ingress.EmptyBody(func() { p.Stop(run) }), Sized: true, Events: events}, nil
 }
 
 // request is what an order asks of an engine. The call's body says how many
@@ -158,7 +159,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.Stop(run)
 			return ctx.Err()
 		case made, ok := <-run.Output():
 			if !ok {
@@ -166,14 +166,12 @@
 			}
 			if s := p.State(); s == Dark || s == Stuck {
 				<-ctx.Done() // nothing comes through
-				p.Stop(run)
 				return ctx.Err()
 			}
 			if c.lost(c.Zone, p.Zone) {
-				pause(ctx, sentAgain)
+				clock.Sleep(ctx, sentAgain)
 			}
 			if !emit(ingress.Event{Raw: made.At.AppendFormat(nil, time.RFC3339Nano), ID: int64(made.N)}) {
-				p.Stop(run)
 				return nil
 			}
 		}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -11,6 +11,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/ragworthitch/ragworthitch/clock"
 )
 
 // Speeds and sizes of a model engine, as published for the engines we serve.
@@ -151,13 +153,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state = s
-	if s != Down {
-		return
+	if s == Down {
+		e.crash()
 	}
-	for _, r := range append(e.running, e.waiting...) {
-		r.end(ErrCrashed)
-	}
-	e.forget()
 }
 
 // Restart has the engine work again: as a new boot with an empty memory, or,
@@ -166,18 +164,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.state != Stuck {
-		for _, r := range append(e.running, e.waiting...) {
-			r.end(ErrCrashed)
-		}
-		e.forget()
+		e.crash()
 		e.boot++
 	}
 	e.state = Up
 	e.rouse()
 }
 
-// forget drops all that is in memory; e.mu is held.
-func (e *Engine) forget() {
+// crash ends all runs and drops all that is in memory; e.mu is held.
+func (e *Engine) crash() {
+	for _, r := range append(e.running, e.waiting...) {
+		r.end(ErrCrashed)
+	}
 	e.running, e.waiting, e.cache, e.copies = nil, nil, cache{}, map[string]copied{}
 }
 
@@ -253,7 +251,7 @@
 func (e *Engine) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if took := e.begin(); took > 0 {
-			pause(ctx, took)
+			clock.Sleep(ctx, took)
 			e.finish()
 			continue
 		}
@@ -263,12 +261,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/ragworthitch/ragworthitch/queue"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/settings"
+	"github.com/ragworthitch/ragworthitch/upstream"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
@@ -242,15 +244,15 @@
 }
 
 // linkTo returns the connection to a target's agent and the fencing number
-// that its orders carry; the link is nil while it is not connected.
-func (e *Entry) linkTo(name string) (*link, uint64) {
+// that its orders carry. Errors wrap upstream.ErrNotSent.
+func (e *Entry) linkTo(name string) (*link, uint64, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	t := e.targets[name]
-	if t == nil {
-		return nil, 0
+	if t == nil || t.link == nil {
+		return nil, 0, fmt.Errorf("%w: agent of %s not connected", upstream.ErrNotSent, name)
 	}
-	return t.link, t.lease.Epoch
+	return t.link, t.lease.Epoch, nil
 }
 
 // KnowsAll reports whether the entry is connected to at least n agents.
--- a/entry/call.go
+++ b/entry/call.go
@@ -64,10 +64,13 @@
 
 func (e *Entry) callRepeatable(ctx context.Context, req ragworthitch.Request) (Answer, error) {
 	text, err := e.send(ctx, req, safePath)
-	if errors.Is(err, ErrNotRun) {
+	switch {
+	case errors.Is(err, ErrNotRun):
 		return Answer{}, fmt.Errorf("%w: %v", ErrNoTarget, err)
+	case err != nil:
+		return Answer{}, fmt.Errorf("%w: %v", ErrFailed, err)
 	}
-	return Answer{Text: text}, err
+	return Answer{Text: text}, nil
 }
 
 // send lets a call run at a target. Errors: ErrNotRun if it certainly did
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -81,3 +81,12 @@
 	require.NoError(t, err)
 	assert.Equal(t, 1, svc.Runs("k3"))
 }
+
+// A repeatable call whose target fails is no conflict: its caller may ask again.
+func TestRepeatableCallFailed(t *testing.T) {
+	_, svc, e := startDesk(t)
+	svc.Broken.Store(true)
+	_, err := e.Call(context.Background(), ragworthitch.NewRequest(ragworthitch.RequestParams{ID: "s1", Org: "o", Kind: ragworthitch.KindShort, Op: "status"}))
+	assert.ErrorIs(t, err, entry.ErrFailed)
+	assert.NotErrorIs(t, err, entry.ErrUnknownOutcome)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,9 @@
 	ErrGaveUp = errors.New("entry: gave up after all attempts")
 	// ErrNotRun is returned when a call that may not repeat was not run.
 	ErrNotRun = errors.New("entry: not run")
+	// ErrFailed is returned when a call that may repeat failed: it may have
+	// run, and may be asked for again.
+	ErrFailed = errors.New("entry: call failed")
 	// ErrUnknownOutcome is returned when a call may or may not have run.
 	ErrUnknownOutcome = errors.New("entry: outcome unknown")
 	// ErrDuplicate is returned when a request id is already in use.
--- a/entry/sender.go
+++ b/entry/sender.go
@@ -28,9 +28,9 @@
 
 // Send sends an order to its target's agent.
 func (s sender) Send(ctx context.Context, o *ingress.Order) (*ingress.Reply, error) {
-	l, epoch := s.e.linkTo(o.Target.ID())
-	if l == nil {
-		return nil, fmt.Errorf("%w: agent of %s not connected", upstream.ErrNotSent, o.Target.ID())
+	l, epoch, err := s.e.linkTo(o.Target.ID())
+	if err != nil {
+		return nil, err
 	}
 	if strings.HasPrefix(o.Call.Path, generatePath) {
 		return s.start(ctx, o, l, epoch)
@@ -40,10 +40,8 @@
 
 // Probe reports whether a target's agent is connected.
 func (s sender) Probe(_ context.Context, m *registry.Member) error {
-	if l, _ := s.e.linkTo(m.Target().ID()); l == nil {
-		return fmt.Errorf("%w: agent of %s not connected", upstream.ErrNotSent, m.Target().ID())
-	}
-	return nil
+	_, _, err := s.e.linkTo(m.Target().ID())
+	return err
 }
 
 // call sends a short call and waits for its result.
@@ -93,16 +91,20 @@
 		l.close(k)
 		return nil, fmt.Errorf("%w: %v", upstream.ErrSent, err)
 	}
+	ended := false // by its target
 	events := func(emit func(ingress.Event) bool) error {
-		defer l.close(k)
 		err := s.follow(ctx, st, q, len(prefix), emit)
-		if err != nil {
+		ended = err == nil
+		return err
+	}
+	body := ingress.EmptyBody(func() {
+		l.close(k)
+		if !ended {
 			st.interrupted()
 			s.cancel(st, l, k)
 		}
-		return err
-	}
-	return &ingress.Reply{Status: http.StatusOK, Body: http.NoBody, Sized: true, Events: events}, nil
+	})
+	return &ingress.Reply{Status: http.StatusOK, Body: body, Sized: true, Events: events}, nil
 }
 
 // cancel tells an agent that an attempt is given up.
--- a/health/links.go
+++ b/health/links.go
@@ -46,9 +46,9 @@
 		w = &way{at: now}
 		l.ways[zone] = w
 	}
-	before := w.loss(now)
-	w.stalls, w.at = w.weight(now)+1, now
-	return before < 0.5 && w.loss(now) >= 0.5
+	before := w.weight(now)
+	w.stalls, w.at = before+1, now
+	return loss(before) < 0.5 && loss(w.stalls) >= 0.5
 }
 
 // Stalls is the weight of the stalls on the way to a zone.
@@ -63,10 +63,11 @@
 
 // Loss is how sure it is, from 0 to 1, that the way to a zone loses packets.
 func (l *Links) Loss(zone string, now clock.Time) float64 {
-	return min(1, l.Stalls(zone, now)/certainStalls)
+	return loss(l.Stalls(zone, now))
 }
 
-func (w *way) loss(now clock.Time) float64 { return min(1, w.weight(now)/certainStalls) }
+// loss is how sure a weight of stalls makes it that packets are lost.
+func loss(stalls float64) float64 { return min(1, stalls/certainStalls) }
 
 // weight is the weight of the stalls so far.
 func (w *way) weight(now clock.Time) float64 {
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -94,6 +94,22 @@
 	RankLast
 )
 
+// emptyBody is the body of a reply whose events come another way.
+type emptyBody struct {
+	io.Reader
+	close func()
+}
+
+// EmptyBody returns a body without bytes. close is called when the reply is
+// done with, whether its events were read or not.
+func EmptyBody(close func()) io.ReadCloser { return emptyBody{http.NoBody, close} }
+
+// Close ends the reply.
+func (b emptyBody) Close() error {
+	b.close()
+	return nil
+}
+
 // events hands the events of a stream to emit.
 func (r *Reply) events(emit func(Event) bool) error {
 	if r.Events != nil {
--- a/rwtest/rwtest.go
+++ b/rwtest/rwtest.go
@@ -36,6 +36,8 @@
 		Hook  func(m wire.Message, offset int) Action
 		Epoch uint64
 		Busy  atomic.Bool // refuses calls: not run
+		// Broken fails calls that may have run.
+		Broken atomic.Bool
 
 		mu     sync.Mutex
 		starts []wire.Message
@@ -101,6 +103,10 @@
 			c.Send(ctx, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: "draining", NotRun: true})
 			continue
 		}
+		if m.Type == wire.TypeCall && a.Broken.Load() {
+			c.Send(ctx, wire.Message{Type: wire.TypeFail, RequestID: m.RequestID, Attempt: m.Attempt, Reason: "broken"})
+			continue
+		}
 		if m.Type == wire.TypeCall {
 			a.mu.Lock()
 			if a.runs == nil {
