--- a/process/process.go
+++ b/process/process.go
@@ -81,9 +81,10 @@
 
 // awaitStart waits for the line that says so, after a place in the log.
 func (p *Process) awaitStart(at int64) error {
+	var b []byte
 	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(startLook) {
-		b, err := p.logFrom(at)
-		if err != nil {
+		var err error
+		if b, err = p.logFrom(at); err != nil {
 			return err
 		}
 		if bytes.Contains(b, []byte(": started")) {
@@ -93,7 +94,7 @@
 			break
 		}
 	}
-	return fmt.Errorf("%w: %s; see %s", ErrNotStarted, p.name, p.log)
+	return fmt.Errorf("%w: %s: ended %v (%v), said %q", ErrNotStarted, p.name, p.Ended(), p.Err(), b)
 }
 
 // logFrom is the process's output after a place in its log, which may hold that
