relay: tables of the store are read by few instances and told to the others

The calls grow with instances times changes, as every target writes every 1.2 s. Change: package relay. The instances of a zone order themselves alike, by rendezvous hashing, and each asks the first that answers; the first, and whoever is asked, reads from the store.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -26,25 +26,55 @@
 	// slowAnswerTime is the same after a call has failed that way: a slow
 	// store, which takes some 50 times its usual 4 to 8 ms, is still of use.
 	slowAnswerTime = 1500 * time.Millisecond
+	// relayGap is the least time between the starts of two calls to a relay,
+	// which answers when there is news: changes that come together are taken
+	// together, and none is much later for it.
+	relayGap = 50 * time.Millisecond
 	// lagRoom is how many times as long as the last answer one may take.
 	lagRoom = 2
 )
 
-// ErrMissed is returned by a Source when changes were lost: the table has to
-// be read anew.
-var ErrMissed = errors.New("discovery: changes were missed")
+var (
+	// ErrMissed is returned by a Source when changes were lost: the table has
+	// to be read anew.
+	ErrMissed = errors.New("discovery: changes were missed")
+
+	// errRelay is why a call to a Relay failed: the next one goes elsewhere.
+	errRelay = errors.New("discovery: relay failed")
+)
 
 type (
+	// Reading is what a Source knows of a table.
+	Reading[T any] struct {
+		Rows    []T
+		Version int64
+		// Relayed says that another instance has read this from the store, and
+		// what Proved and Away are: the moment up to which nothing but Rows is
+		// known to have changed, and the last one at which the store did not
+		// answer that instance; 0: none.
+		Relayed bool
+		Proved  clock.Time
+		Away    clock.Time
+	}
+
 	// Source is a table of the store.
 	Source[T any] interface {
-		// Read reads the whole table as of version.
-		Read(ctx context.Context) (rows []T, version int64, err error)
+		// Read reads the whole table.
+		Read(ctx context.Context) (Reading[T], error)
 		// Changes waits for rows changed after a version.
-		Changes(ctx context.Context, after int64, wait time.Duration) (rows []T, version int64, err error)
+		Changes(ctx context.Context, after int64, wait time.Duration) (Reading[T], error)
 		// Drop closes idle connections, which may have gone silent.
 		Drop()
 	}
 
+	// Relay is a Source that knows the table from another instance, which
+	// follows it for several. Its calls end by themselves.
+	Relay[T any] interface {
+		Source[T]
+		// Use reports whether the next call should go there.
+		Use() bool
+	}
+
 	// Sink takes what a Follower learns.
 	Sink[T any] interface {
 		// Replace takes the whole table, read from at on.
@@ -60,6 +90,7 @@
 	Follower[T any] struct {
 		Name   string // of the table, for logs
 		Source Source[T]
+		Relay  Relay[T] // asked in place of Source when it can be; nil: never
 		Sink   Sink[T]
 		Wait   time.Duration // how long to wait for changes in one call
 		Gap    time.Duration // least time between the starts of two calls
@@ -75,6 +106,8 @@
 		readAt  clock.Time
 		fails   int
 		lag     time.Duration // what the last answer took beyond the wait asked for
+		relayed bool          // the last call went to the relay
+		away    clock.Time    // when the store was last away, as the relay says
 	}
 )
 
@@ -86,6 +119,9 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errRelay) {
+			continue // the relay has noted why, and is not asked for a while
+		}
 		f.note(err, begun)
 		if f.Rests && f.fails > 1 {
 			f.Contact.await(ctx)
@@ -96,36 +132,70 @@
 	return nil
 }
 
-// step makes one call to the source.
+// step makes one call.
 func (f *Follower[T]) step(ctx context.Context, begun clock.Time) error {
+	f.relayed = f.Relay != nil && f.Relay.Use()
+	if f.relayed {
+		return f.ask(ctx, begun)
+	}
+	whole := f.version == 0 || f.Reread > 0 && begun.Sub(f.readAt) > f.Reread
 	limit, wait := f.patience()
-	if f.version == 0 || f.Reread > 0 && begun.Sub(f.readAt) > f.Reread {
-		ctx, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		rows, version, err := f.Source.Read(ctx)
-		if err != nil {
-			return err
-		}
-		f.regained(begun)
-		f.version, f.readAt = version, begun
-		f.Sink.Replace(rows, begun)
-		return nil
+	if whole {
+		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit+wait)
 	defer cancel()
-	rows, version, err := f.Source.Changes(ctx, f.version, wait)
+	r, err := f.read(ctx, f.Source, whole, wait)
 	if err != nil {
 		return err
 	}
-	if took := clock.Now().Sub(begun); took >= wait {
+	if took := clock.Now().Sub(begun); !whole && took >= wait {
 		f.lag = took - wait // nothing had changed
 	}
-	f.regained(begun)
-	f.version = max(f.version, version)
-	f.Sink.Change(rows, begun)
+	f.take(r, whole, begun, begun)
+	return nil
+}
+
+// ask makes one call to the relay. The instance that answers reads the table
+// whole now and then, so that this one need not.
+func (f *Follower[T]) ask(ctx context.Context, begun clock.Time) error {
+	whole := f.version == 0
+	r, err := f.read(ctx, f.Relay, whole, f.Wait)
+	if errors.Is(err, ErrMissed) {
+		return err
+	}
+	if err != nil {
+		return errRelay
+	}
+	if r.Away > f.away {
+		f.away = r.Away
+		f.Sink.Away(r.Away)
+	}
+	f.take(r, whole, begun, r.Proved)
+	f.readAt = begun
 	return nil
 }
 
+func (f *Follower[T]) read(ctx context.Context, from Source[T], whole bool, wait time.Duration) (Reading[T], error) {
+	if whole {
+		return from.Read(ctx)
+	}
+	return from.Changes(ctx, f.version, wait)
+}
+
+// take hands over what a call that began at a moment has brought; it is
+// complete up to proved.
+func (f *Follower[T]) take(r Reading[T], whole bool, begun, proved clock.Time) {
+	f.regained(begun)
+	if whole {
+		f.version, f.readAt = r.Version, begun
+		f.Sink.Replace(r.Rows, proved)
+		return
+	}
+	f.version = max(f.version, r.Version)
+	f.Sink.Change(r.Rows, proved)
+}
+
 // patience is how long the next call may take beyond the wait for changes that
 // it asks for. What it proves is as old as the call: a slow store is asked for a
 // shorter wait, and one that has just failed to answer for none.
@@ -157,7 +227,7 @@
 	case err == nil:
 	case errors.Is(err, ErrMissed):
 		f.version = 0
-		f.Log.Warn().Str("table", f.Name).Msg("discovery: changes missed; table is read anew")
+		f.Log.Warn().Str("table", f.Name).AnErr("cause", err).Msg("discovery: changes missed; table is read anew")
 	default:
 		if f.fails == 0 {
 			f.Log.Warn().Str("table", f.Name).Int64("version", f.version).Dur("after", clock.Now().Sub(begun)).Err(err).Msg("discovery: store lost")
@@ -170,7 +240,12 @@
 
 // pause is how long to wait before the next call.
 func (f *Follower[T]) pause(err error, took time.Duration) time.Duration {
-	if err == nil || errors.Is(err, ErrMissed) {
+	switch {
+	case errors.Is(err, ErrMissed):
+		return 0
+	case err == nil && f.relayed:
+		return max(min(f.Gap, relayGap)-took, 0)
+	case err == nil:
 		return max(f.Gap-took, 0)
 	}
 	d := min(firstBackoff<<min(f.fails-1, 6), maxBackoff)
--- a/discovery/follow_test.go
+++ b/discovery/follow_test.go
@@ -27,23 +27,24 @@
 	done    context.CancelFunc
 }
 
-func (s *script) next(ctx context.Context, call string) ([]int, int64, error) {
+func (s *script) next(ctx context.Context, call string) (Reading[int], error) {
 	s.mu.Lock()
 	s.calls = append(s.calls, call)
 	if len(s.answers) == 0 {
 		s.mu.Unlock()
 		s.done()
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return Reading[int]{}, ctx.Err()
 	}
 	a := s.answers[0]
 	s.answers = s.answers[1:]
 	s.mu.Unlock()
-	return a(ctx)
+	rows, version, err := a(ctx)
+	return Reading[int]{Rows: rows, Version: version}, err
 }
 
-func (s *script) Read(ctx context.Context) ([]int, int64, error) { return s.next(ctx, "read") }
-func (s *script) Changes(ctx context.Context, after int64, _ time.Duration) ([]int, int64, error) {
+func (s *script) Read(ctx context.Context) (Reading[int], error) { return s.next(ctx, "read") }
+func (s *script) Changes(ctx context.Context, after int64, _ time.Duration) (Reading[int], error) {
 	return s.next(ctx, "changes")
 }
 func (s *script) Drop() { s.note("drop") }
--- a/discovery/slow_test.go
+++ b/discovery/slow_test.go
@@ -31,19 +31,19 @@
 	calls  int
 }
 
-func (s *slowStore) answer(ctx context.Context, wait time.Duration) ([]int, int64, error) {
+func (s *slowStore) answer(ctx context.Context, wait time.Duration) (Reading[int], error) {
 	s.calls++
 	if time.Since(s.begun) >= s.from {
 		wait += s.lag
 	}
 	if !clock.Sleep(ctx, wait) {
-		return nil, 0, ctx.Err()
+		return Reading[int]{}, ctx.Err()
 	}
-	return nil, 1, nil
+	return Reading[int]{Version: 1}, nil
 }
 
-func (s *slowStore) Read(ctx context.Context) ([]int, int64, error) { return s.answer(ctx, 0) }
-func (s *slowStore) Changes(ctx context.Context, _ int64, wait time.Duration) ([]int, int64, error) {
+func (s *slowStore) Read(ctx context.Context) (Reading[int], error) { return s.answer(ctx, 0) }
+func (s *slowStore) Changes(ctx context.Context, _ int64, wait time.Duration) (Reading[int], error) {
 	return s.answer(ctx, wait)
 }
 func (*slowStore) Drop()           {}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -143,6 +143,13 @@
 	e.choose()
 }
 
+// Known are the other instances, as the table of instances names them.
+func (e *Exchange) Known() []Peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Values(e.known))
+}
+
 // choose keeps links to the peers that are to be told; e.mu is held.
 func (e *Exchange) choose() {
 	if e.ctx == nil {
--- /dev/null
+++ b/instance/follow.go
@@ -0,0 +1,109 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/discovery"
+	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/relay"
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+const (
+	// desiredWait is how long a call waits for a new desired state at most,
+	// and desiredShare the part of the time within which a key has to be
+	// refused. The proof is as old as the call, so keys are judged on proofs
+	// of twice this age.
+	desiredWait  = 800 * time.Millisecond
+	desiredShare = 0.16
+	// targetWait and targetGap pace the calls for targets' entries: every
+	// target writes every 1.2 s, so changes are taken in batches.
+	targetWait = 2 * time.Second
+	targetGap  = 400 * time.Millisecond
+	// peerWait and peerGap pace the calls for other instances' entries,
+	// which change when machines are added or replaced.
+	peerWait = 10 * time.Second
+	peerGap  = time.Second
+	// reread is how often the desired state is read whole, against changes
+	// lost without notice, and rereadTargets the list of targets, which is
+	// 200 bytes for each of them.
+	reread        = 10 * time.Second
+	rereadTargets = 30 * time.Second
+
+	// behind is how old knowledge may be that is told to other instances, in
+	// waits: it is two waits old at most as long as the store answers.
+	behind = 2.2
+)
+
+// caches are the tables that this instance keeps for others, by name.
+func (i *Instance) caches() map[string]*relay.Cache {
+	never := func(a, b platform.StoredRow) bool { return a.Deleted && b.Deleted }
+	cache := func(same func(a, b platform.StoredRow) bool, wait time.Duration) *relay.Cache {
+		return relay.NewCache(same, share(behind, wait))
+	}
+	return map[string]*relay.Cache{
+		platform.TableOperator: cache(never, i.desiredWait()),
+		platform.TableTargets:  cache(platform.SameTarget, targetWait),
+		platform.TablePeers:    cache(never, peerWait),
+	}
+}
+
+// desiredWait is how long a call waits for a new desired state.
+func (i *Instance) desiredWait() time.Duration {
+	return min(desiredWait, share(desiredShare, i.boot.Bounds().Revoke))
+}
+
+// leaving reports whether this instance stops soon.
+func (i *Instance) leaving() bool { return i.handler.Leaving() }
+
+// follow keeps the desired state, the targets and the other instances up to
+// date.
+func (i *Instance) follow(p *pool.ContextPool) {
+	choice := relay.NewChoice(i.boot.Node(), i.boot.Zone(), i.peers.Known)
+	direct := func(table string) relay.Direct {
+		return relay.Direct{Store: i.store, Cache: i.relay.Tables[table]}
+	}
+	asker := func(table string, proof bool) *relay.Asker {
+		return &relay.Asker{Table: table, Proof: proof, Choice: choice, Cache: i.relay.Tables[table], Dial: dialTable, Log: i.log}
+	}
+
+	states := asker(platform.TableOperator, true)
+	p.Go((&discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
+		Source: platform.DesiredTable{Reader: direct(platform.TableOperator), Unreadable: i.unreadable},
+		Relay:  asking[*ragworthitch.DesiredState]{platform.DesiredTable{Reader: states, Unreadable: i.unreadable}, states},
+		Sink:   discovery.BookSink{Book: i.book, Log: i.log},
+		Wait:   i.desiredWait(), Reread: reread, Contact: &i.contact}).Run)
+
+	targets := asker(platform.TableTargets, false)
+	p.Go((&discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
+		Source: platform.TargetTable{Reader: direct(platform.TableTargets), Unreadable: i.unreadable},
+		Relay:  asking[discovery.Entry]{platform.TargetTable{Reader: targets, Unreadable: i.unreadable}, targets},
+		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
+		Wait:   targetWait, Gap: targetGap, Reread: rereadTargets, Contact: &i.contact, Rests: true}).Run)
+
+	if i.boot.Internal() == "" {
+		return // there is no way to other instances
+	}
+	peers := asker(platform.TablePeers, false)
+	p.Go((&discovery.Follower[discovery.PeerEntry]{Name: platform.TablePeers, Log: i.log,
+		Source: platform.PeerTable{Reader: direct(platform.TablePeers), Unreadable: i.unreadable},
+		Relay:  asking[discovery.PeerEntry]{platform.PeerTable{Reader: peers, Unreadable: i.unreadable}, peers},
+		Sink:   discovery.PeerSink{Exchange: i.peers}, Wait: peerWait, Gap: peerGap, Contact: &i.contact, Rests: true}).Run)
+}
+
+// asking is a table that is read by asking other instances.
+type asking[T any] struct {
+	discovery.Source[T]
+	asker *relay.Asker
+}
+
+// Use reports whether there is one to ask.
+func (a asking[T]) Use() bool { return a.asker.Use() }
+
+func dialTable(ctx context.Context, addr string) (relay.Conn, error) {
+	return wire.DialTable(ctx, addr)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -28,6 +28,7 @@
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/relay"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
@@ -42,30 +43,10 @@
 	// at most while the store answers, 2.3 s while it is 90 times slower.
 	readyShare = 0.52
 
-	// desiredWait is how long a call waits for a new desired state at most,
-	// and desiredShare the part of the time within which a key has to be
-	// refused. The proof is as old as the call, so keys are judged on proofs
-	// of twice this age.
-	desiredWait  = 800 * time.Millisecond
-	desiredShare = 0.16
-	// targetWait and targetGap pace the calls for targets' entries: every
-	// target writes every 1.2 s, so changes are taken in batches.
-	targetWait = 2 * time.Second
-	targetGap  = 400 * time.Millisecond
-	// reread is how often the desired state is read whole, against changes
-	// lost without notice, and rereadTargets the list of targets, which is
-	// 200 bytes for each of them.
-	reread        = 10 * time.Second
-	rereadTargets = 30 * time.Second
-
 	// heapShare of the memory limit is what the collector lets the heap
 	// grow to before it works harder.
 	heapShare = 0.7
 
-	// peerWait and peerGap pace the calls for other instances' entries,
-	// which change when machines are added or replaced.
-	peerWait = 10 * time.Second
-	peerGap  = time.Second
 	// announceTime bounds a try to write this instance's entry, and the
 	// pause after one that failed.
 	announceTime = time.Second
@@ -98,6 +79,7 @@
 	metrics    http.Handler
 	unreadable *platform.Unreadable
 	contact    discovery.Contact
+	relay      *relay.Server
 	read       atomic.Bool // the targets' table has been read
 }
 
@@ -111,6 +93,7 @@
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics, unreadable: platform.NewUnreadable(log, scope),
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
 	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, log)
+	i.relay = &relay.Server{Tables: i.caches(), Leaving: i.leaving, Log: log}
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
 		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
@@ -171,19 +154,6 @@
 	return ln, nil
 }
 
-// follow keeps the desired state and the targets up to date.
-func (i *Instance) follow(p *pool.ContextPool) {
-	states := &discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
-		Source: platform.DesiredTable{Store: i.store, Unreadable: i.unreadable}, Sink: discovery.BookSink{Book: i.book, Log: i.log},
-		Wait: min(desiredWait, share(desiredShare, i.boot.Bounds().Revoke)), Reread: reread, Contact: &i.contact}
-	entries := &discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
-		Source: platform.TargetTable{Store: i.store, Unreadable: i.unreadable},
-		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
-		Wait:   targetWait, Gap: targetGap, Reread: rereadTargets, Contact: &i.contact, Rests: true}
-	p.Go(states.Run)
-	p.Go(entries.Run)
-}
-
 func (i *Instance) limits() ragworthitch.Limits {
 	if d := i.book.State(); d != nil {
 		return d.Limits()
@@ -219,24 +189,21 @@
 	}
 	r := httprouter.New()
 	r.Handler(http.MethodGet, wire.ViewPath, i.peers)
+	r.Handler(http.MethodGet, wire.TablePath, i.relay)
 	if i.metrics != nil {
 		r.Handler(http.MethodGet, metricsPath, i.metrics)
 	}
 	i.serve(p, ln, r)
-	table := platform.PeerTable{Store: i.store, Unreadable: i.unreadable}
-	follow := &discovery.Follower[discovery.PeerEntry]{Name: "entries", Log: i.log, Source: table,
-		Sink: discovery.PeerSink{Exchange: i.peers}, Wait: peerWait, Gap: peerGap, Contact: &i.contact, Rests: true}
 	p.Go(i.peers.Run)
-	p.Go(follow.Run)
-	p.Go(func(ctx context.Context) error { return i.announce(ctx, table) })
+	p.Go(i.announce)
 }
 
 // announce writes this instance's entry.
-func (i *Instance) announce(ctx context.Context, table platform.PeerTable) error {
+func (i *Instance) announce(ctx context.Context) error {
 	me := exchange.Peer{Node: i.boot.Node(), Zone: i.boot.Zone(), Addr: i.boot.Internal()}
 	for ctx.Err() == nil {
 		actx, cancel := context.WithTimeout(ctx, announceTime)
-		err := table.Announce(actx, me)
+		err := platform.Announce(actx, i.store, me)
 		cancel()
 		if err == nil {
 			return nil
--- /dev/null
+++ b/relay/cache_test.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/wire"
+)
+
+type (
+	cacheCase struct {
+		Name  string
+		Steps []cacheStep
+	}
+
+	cacheStep struct {
+		At      float64
+		Read    []string
+		Change  []string
+		Version int64
+		Fail    bool
+		Ask     *cacheAsk
+		Tells   []string
+		State   string
+	}
+
+	cacheAsk struct {
+		After int64
+		Whole bool
+	}
+)
+
+var states = map[string]wire.AnswerState{"": wire.AnswerGood, "missed": wire.AnswerMissed, "behind": wire.AnswerBehind}
+
+func TestCache(t *testing.T) {
+	b, err := os.ReadFile("testdata/cache.yaml")
+	require.NoError(t, err)
+	var all []cacheCase
+	require.NoError(t, yaml.Unmarshal(b, &all))
+	for _, c := range all {
+		t.Run(c.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { c.play(t) })
+		})
+	}
+}
+
+func (c cacheCase) play(t *testing.T) {
+	begun := time.Now()
+	cache := NewCache(sameRow, 1600*time.Millisecond)
+	cache.ask(clock.Now())
+	for n, s := range c.Steps {
+		time.Sleep(time.Until(begun.Add(time.Duration(s.At * float64(time.Second)))))
+		now := clock.Now()
+		switch {
+		case s.Read != nil:
+			cache.Replace(stored(s.Read, s.Version), s.Version, now)
+		case s.Change != nil:
+			cache.Change(stored(s.Change, s.Version), s.Version, now)
+		case s.Fail:
+			cache.Failed(now)
+		case s.Ask != nil:
+			a, _, _ := cache.answer(wire.Question{Whole: s.Ask.Whole, After: s.Ask.After}, now, 0)
+			assert.Equal(t, states[s.State], a.State, "step %d", n)
+			assert.Equal(t, s.Tells, told(a), "step %d", n)
+		}
+	}
+}
+
+// stored are rows written one after the other up to a version.
+func stored(rows []string, version int64) []platform.StoredRow {
+	var out []platform.StoredRow
+	for n, r := range rows {
+		key, value, _ := strings.Cut(r, " ")
+		out = append(out, platform.StoredRow{RowID: platform.RowID{Table: table, Key: key}, Value: []byte(value),
+			Version: version - int64(len(rows)-1-n), Deleted: value == "gone"})
+	}
+	return out
+}
+
+func told(a wire.Answer) []string {
+	if a.State != wire.AnswerGood {
+		return nil
+	}
+	out := []string{}
+	for _, r := range a.Rows {
+		value := string(r.Value)
+		if r.Gone {
+			value = "gone"
+		}
+		out = append(out, r.Key+" "+value)
+	}
+	return out
+}
--- a/wire/view.go
+++ b/wire/view.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -123,18 +122,9 @@
 
 // RecvView reads one view.
 func (c *Conn) RecvView(ctx context.Context) (View, error) {
-	_, b, err := c.ws.Read(ctx)
+	b, err := c.read(ctx)
 	if err != nil {
-		return View{}, fmt.Errorf("%w: %v", ErrClosed, err)
+		return View{}, err
 	}
 	return DecodeView(b)
 }
-
-func (c *Conn) write(ctx context.Context, b []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
-		return fmt.Errorf("%w: %v", ErrClosed, err)
-	}
-	return nil
-}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -214,9 +214,9 @@
 
 // Recv reads one message.
 func (c *Conn) Recv(ctx context.Context) (Message, error) {
-	_, b, err := c.ws.Read(ctx)
+	b, err := c.read(ctx)
 	if err != nil {
-		return Message{}, fmt.Errorf("%w: %v", ErrClosed, err)
+		return Message{}, err
 	}
 	return Decode(b)
 }
@@ -228,3 +228,20 @@
 
 // CloseNow drops the connection without a closing handshake.
 func (c *Conn) CloseNow() error { return c.ws.CloseNow() }
+
+func (c *Conn) read(ctx context.Context) ([]byte, error) {
+	_, b, err := c.ws.Read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return b, nil
+}
+
+func (c *Conn) write(ctx context.Context, b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.ws.Write(ctx, websocket.MessageBinary, b); err != nil {
+		return fmt.Errorf("%w: %v", ErrClosed, err)
+	}
+	return nil
+}
