instance, recall, relay: places of prompts are kept by the instance that reads for a zone

And a state with 1,400 routes would take the 20 Mbit/s of a small machine seconds to tell to twenty others. Answers over 64 kB send the asker to the store, once. recall remembers 16,384 places, for 500 streams a second, in place of 2,048. soak: the ways of a zone's instances are shared, as rows are told between them.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -25,8 +25,10 @@
 	targetWait = 2 * time.Second
 	targetGap  = 400 * time.Millisecond
 	// peerWait and peerGap pace the calls for other instances' entries,
-	// which change when machines are added or replaced.
-	peerWait = 10 * time.Second
+	// which change when machines are added or replaced. Their number is known by
+	// an answer that is two waits old at most at who reads it, and three at those
+	// who ask: half of what the budget of repeats allows (budget.staleAfter).
+	peerWait = 4 * time.Second
 	peerGap  = time.Second
 	// reread is how often the desired state is read whole, against changes
 	// lost without notice, and rereadTargets the list of targets, which is
@@ -72,6 +74,7 @@
 	}
 
 	states := asker(platform.TableOperator, true)
+	states.Notes = &i.notes
 	p.Go((&discovery.Follower[*ragworthitch.DesiredState]{Name: platform.TableOperator, Log: i.log,
 		Source: platform.DesiredTable{Reader: direct(platform.TableOperator), Unreadable: i.unreadable},
 		Relay:  asking[*ragworthitch.DesiredState]{platform.DesiredTable{Reader: states, Unreadable: i.unreadable}, states},
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -80,6 +80,7 @@
 	unreadable *platform.Unreadable
 	contact    discovery.Contact
 	relay      *relay.Server
+	notes      notes
 	read       atomic.Bool // the targets' table has been read
 }
 
@@ -93,7 +94,8 @@
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics, unreadable: platform.NewUnreadable(log, scope),
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
 	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, log)
-	i.relay = &relay.Server{Tables: i.caches(), Leaving: i.leaving, Log: log}
+	i.notes.recall = &i.recall
+	i.relay = &relay.Server{Tables: i.caches(), Leaving: i.leaving, Keep: i.notes.keep, Log: log}
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall,
 		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
 		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -16,14 +16,13 @@
 	// keep is how long a prompt is expected to stay in an engine's memory
 	// at a usual load; callers on dark connections come back after 18 s.
 	keep = 30 * time.Second
-	// maxPlaces bounds what is remembered: 70 streams a second for keep,
-	// some 100 bytes each.
-	maxPlaces = 2048
-	// maxNews bounds what is kept to be told to other instances.
+	// maxPlaces bounds what is remembered: 500 streams a second for keep, some
+	// 100 bytes each. That is two availability zones of the size expected in two
+	// years; instances hear of those of their own.
+	maxPlaces = 16384
+	// maxNews bounds what is kept to be told to other instances: what one of
+	// them begins within seconds.
 	maxNews = 256
-	// maxLatest bounds what is kept for an instance that starts anew: twice
-	// the streams that one instance begins within keep.
-	maxLatest = 64
 )
 
 type (
@@ -96,20 +95,6 @@
 	return m.engine, true
 }
 
-// Latest are this instance's own notes that still count, and how many notes
-// it has ever made.
-func (r *Recall) Latest(now clock.Time) ([]Place, uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []Place
-	for _, p := range r.news[max(0, len(r.news)-maxLatest):] {
-		if m, ok := r.place[p.Subject]; ok && m.engine == p.Engine && now.Sub(m.at) <= keep {
-			out = append(out, p)
-		}
-	}
-	return out, r.total
-}
-
 // Since returns the own notes after the first n, as far as they are still
 // kept, and how many there have been.
 func (r *Recall) Since(n uint64) ([]Place, uint64) {
--- a/relay/asker.go
+++ b/relay/asker.go
@@ -28,6 +28,7 @@
 )
 
 var (
+	errLarge   = errors.New("relay: too much to be told; read from the store")
 	errBehind  = errors.New("relay: instance asked does not know the table well enough")
 	errNobody  = errors.New("relay: nobody to ask")
 	errReads   = errors.New("relay: others ask for the table here")
@@ -41,6 +42,14 @@
 		CloseNow() error
 	}
 
+	// Notes are what an instance has noted for whoever reads the store for it.
+	Notes interface {
+		// Fresh are the notes that nobody has taken, and how many there have been.
+		Fresh() ([]wire.Place, uint64)
+		// Taken notes that they have been taken up to so many.
+		Taken(n uint64)
+	}
+
 	// Asker reads a table by asking other instances; it is a platform.Reader.
 	// Its calls end by themselves, and its methods are not for concurrent use.
 	Asker struct {
@@ -49,12 +58,15 @@
 		Choice *Choice
 		Cache  *Cache // of the same table, for those who ask this instance
 		Dial   func(ctx context.Context, addr string) (Conn, error)
-		Log    zerolog.Logger
+		// Notes are told along with the questions; nil: there are none.
+		Notes Notes
+		Log   zerolog.Logger
 
 		conn   Conn
 		peer   exchange.Peer // at the other end of conn
 		direct bool          // the table was last read from the store
 		failed bool          // the last question was not answered
+		large  bool          // the next call goes to the store, for what is too much to be told
 	}
 )
 
@@ -64,7 +76,8 @@
 	now := clock.Now()
 	asked, _ := a.Cache.Asked(now)
 	_, ok := a.Choice.Next(now)
-	use := ok && !asked
+	use := ok && !asked && !a.large
+	a.large = false
 	if use {
 		a.Cache.Drop()
 	} else if !a.direct {
@@ -123,6 +136,9 @@
 		return page, nil
 	case errors.Is(err, discovery.ErrMissed):
 		return page, err
+	case errors.Is(err, errLarge):
+		a.large = true
+		return page, err
 	case errors.Is(context.Cause(ctx), errReads):
 		a.Drop()
 		return page, errReads
@@ -155,16 +171,26 @@
 		a.direct = false
 		a.Log.Info().Str("table", a.Table).Str("peer", p.Node).Msg("relay: table asked of another instance")
 	}
+	var notes uint64
+	if a.Notes != nil {
+		q.Places, notes = a.Notes.Fresh()
+	}
 	asked := clock.Now()
 	answer, err := a.conn.Ask(ctx, q)
 	if err != nil {
 		return platform.Page{}, err
 	}
-	switch answer.State {
-	case wire.AnswerBehind:
+	if answer.State == wire.AnswerBehind {
 		return platform.Page{}, errBehind
+	}
+	if a.Notes != nil {
+		a.Notes.Taken(notes)
+	}
+	switch answer.State {
 	case wire.AnswerMissed:
 		return platform.Page{}, discovery.ErrMissed
+	case wire.AnswerLarge:
+		return platform.Page{}, errLarge
 	}
 	return a.page(answer, asked), nil
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -19,6 +19,11 @@
 	idleTime = 60 * time.Second
 	// sendTime bounds the sending of an answer.
 	sendTime = 2 * time.Second
+	// maxTold bounds the rows of one answer. The smallest machines have 20
+	// Mbit/s, on which this takes 26 ms for each asker, while what is larger, a
+	// state with a thousand routes, would hold up the answers of the zone for
+	// seconds; the store has 200 times as much.
+	maxTold = 64 << 10
 )
 
 // Server answers other instances that ask for tables.
@@ -26,7 +31,10 @@
 	Tables map[string]*Cache // by name
 	// Leaving reports whether this instance stops soon: it answers nobody then.
 	Leaving func() bool
-	Log     zerolog.Logger
+	// Keep takes what askers have noted, to be kept in the store; nil: it is
+	// dropped.
+	Keep func(places []wire.Place)
+	Log  zerolog.Logger
 }
 
 // ServeHTTP answers one instance's questions until its connection ends.
@@ -65,6 +73,9 @@
 		return wire.Answer{State: wire.AnswerBehind}
 	}
 	c.ask(received)
+	if s.Keep != nil {
+		s.Keep(q.Places)
+	}
 	wait := q.Wait
 	if !c.Holds() {
 		wait = max(wait, readTime)
@@ -74,6 +85,9 @@
 	before := c.provedAt()
 	for {
 		a, news, more := c.answer(q, received, before)
+		if size(a) > maxTold {
+			return wire.Answer{State: wire.AnswerLarge}
+		}
 		if news || s.Leaving() {
 			return a
 		}
@@ -86,3 +100,12 @@
 		}
 	}
 }
+
+// size is how many bytes the rows of an answer have.
+func size(a wire.Answer) int {
+	n := 0
+	for _, r := range a.Rows {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -84,9 +84,9 @@
 	if err := p.links.add(partCallers, e.name, callersHost+port(e.front), e.front); err != nil {
 		return err
 	}
-	for n, other := range p.entries {
-		if other == e {
-			continue
+	for n, other := range p.firsts() {
+		if other == e && len(p.entries) <= len(zones) {
+			continue // it is alone in its zone
 		}
 		if err := p.links.add(other.name, e.name, entryHost(n)+port(e.internal), e.internal); err != nil {
 			return err
@@ -145,7 +145,7 @@
 	t.mu.Lock()
 	t.proc, t.config = proc, c
 	t.mu.Unlock()
-	for n, e := range p.entries {
+	for n, e := range p.firsts() {
 		if err := p.links.add(e.name, t.name, entryHost(n)+port(c.Listen), c.Listen); err != nil {
 			return err
 		}
--- a/soak/site.go
+++ b/soak/site.go
@@ -45,8 +45,13 @@
 func zoneOf(n int) string { return zones[n%len(zones)] }
 
 // entryHost is the loopback address at which everything is reached by the nth
-// instance: its relays listen there.
-func entryHost(n int) string { return fmt.Sprintf("127.0.%d.1", n+1) }
+// instance: its links listen there. Instances of a zone have the same one, since
+// they tell each other what they have read of the store: a way from one of them to
+// a target, or to another instance, is that of all, and bears the first one's name.
+func entryHost(n int) string { return fmt.Sprintf("127.0.%d.1", n%len(zones)+1) }
+
+// firsts are the first instances of all zones, whose ways are those of all.
+func (p *play) firsts() []*entry { return p.entries[:min(len(p.entries), len(zones))] }
 
 const (
 	plainHost   = "127.0.0.1"   // where the parts themselves listen
--- a/wire/table.go
+++ b/wire/table.go
@@ -14,8 +14,8 @@
 const TablePath = "/v1/table"
 
 const (
-	// maxQuestion bounds a question.
-	maxQuestion = 4 << 10
+	// maxQuestion bounds a question; some hundred places fit.
+	maxQuestion = 64 << 10
 	// maxAnswer bounds an answer: the store sends at most 1 MB of a table in
 	// one call, and the targets of the size expected in two years are 150 kB.
 	maxAnswer = 8 << 20
@@ -34,6 +34,9 @@
 	AnswerMissed
 	// AnswerBehind: the instance does not know the table well enough to answer.
 	AnswerBehind
+	// AnswerLarge: the rows are too many to be told to everybody by one
+	// instance; the asker has to read them from the store.
+	AnswerLarge
 )
 
 type (
@@ -48,6 +51,9 @@
 		After int64         // that version
 		Wait  time.Duration // how long to wait for changes
 		Proof bool          // answer also when the table is known to be complete up to a later moment
+		// Places are where the asker has had prompts read since its last question,
+		// for whoever reads the store for it to keep there.
+		Places []Place
 	}
 
 	// Answer is what the instance knows. Its times are relative to the moment
@@ -78,6 +84,7 @@
 		A int64
 		D int64 // milliseconds
 		P bool
+		N []placeFrame
 	}
 
 	answerFrame struct {
@@ -101,7 +108,7 @@
 
 // EncodeQuestion maps a question to its CBOR frame.
 func EncodeQuestion(q Question) ([]byte, error) {
-	return cbor.Marshal(questionFrame{T: q.Table, W: q.Whole, A: q.After, D: q.Wait.Milliseconds(), P: q.Proof})
+	return cbor.Marshal(questionFrame{T: q.Table, W: q.Whole, A: q.After, D: q.Wait.Milliseconds(), P: q.Proof, N: encodePlaces(q.Places)})
 }
 
 // DecodeQuestion maps a CBOR frame to a question; errors wrap ErrBadFrame.
@@ -113,7 +120,7 @@
 	if f.D < 0 || f.D > maxWait.Milliseconds() {
 		return Question{}, fmt.Errorf("%w: wait of %d ms", ErrBadFrame, f.D)
 	}
-	return Question{Table: f.T, Whole: f.W, After: f.A, Wait: time.Duration(f.D) * time.Millisecond, Proof: f.P}, nil
+	return Question{Table: f.T, Whole: f.W, After: f.A, Wait: time.Duration(f.D) * time.Millisecond, Proof: f.P, Places: decodePlaces(f.N)}, nil
 }
 
 // EncodeAnswer maps an answer to its CBOR frame.
@@ -131,7 +138,7 @@
 	if err := cbor.Unmarshal(b, &f); err != nil {
 		return Answer{}, fmt.Errorf("%w: %v", ErrBadFrame, err)
 	}
-	if f.S > uint8(AnswerBehind) {
+	if f.S > uint8(AnswerLarge) {
 		return Answer{}, fmt.Errorf("%w: state %d", ErrBadFrame, f.S)
 	}
 	if f.P > maxWait.Microseconds() || f.A > maxWait.Microseconds() {
--- a/wire/table_test.go
+++ b/wire/table_test.go
@@ -7,12 +7,15 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/ragworthitch/ragworthitch"
 )
 
 var (
 	questions = []Question{
 		{Table: "servers", Whole: true},
 		{Table: "op", After: 912, Wait: 800 * time.Millisecond, Proof: true},
+		{Table: "op", Places: []Place{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}}},
 	}
 	answers = []Answer{
 		{State: AnswerBehind},
--- a/wire/view.go
+++ b/wire/view.go
@@ -79,12 +79,26 @@
 	for _, l := range v.Loads {
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.Later, R: l.Running, K: l.Tokens, G: l.Gap.Microseconds()})
 	}
-	for _, p := range v.Places {
-		f.P = append(f.P, placeFrame{S: p.Subject, T: p.Engine.ID(), B: p.Engine.Started()})
-	}
+	f.P = encodePlaces(v.Places)
 	return cbor.Marshal(f)
 }
 
+func encodePlaces(places []Place) []placeFrame {
+	var out []placeFrame
+	for _, p := range places {
+		out = append(out, placeFrame{S: p.Subject, T: p.Engine.ID(), B: p.Engine.Started()})
+	}
+	return out
+}
+
+func decodePlaces(frames []placeFrame) []Place {
+	var out []Place
+	for _, f := range frames {
+		out = append(out, Place{Subject: f.S, Engine: ragworthitch.NewBoot(f.T, f.B)})
+	}
+	return out
+}
+
 // DecodeView maps a CBOR frame to a view; errors wrap ErrBadFrame.
 func DecodeView(b []byte) (View, error) {
 	var f viewFrame
@@ -95,9 +109,7 @@
 	for _, l := range f.L {
 		v.Loads = append(v.Loads, TargetLoad{Target: ragworthitch.NewBoot(l.T, l.B), Prefill: l.P, Later: l.L, Running: l.R, Tokens: l.K, Gap: time.Duration(l.G) * time.Microsecond})
 	}
-	for _, p := range f.P {
-		v.Places = append(v.Places, Place{Subject: p.S, Engine: ragworthitch.NewBoot(p.T, p.B)})
-	}
+	v.Places = decodePlaces(f.P)
 	return v, nil
 }
 
