--- /dev/null
+++ b/discovery/news_test.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
+	"github.com/ragworthitch/ragworthitch/registry"
+)
+
+// The load: 256 targets are read at a start, then 50 of a zone are gone and come
+// back under other ids. That is a line for each thing that happened in a zone, not
+// for each target; one target's change has a line of its own.
+func TestLinesOnTargets(t *testing.T) {
+	var log bytes.Buffer
+	var targets registry.Registry
+	sink := NewTargetSink(&targets, desired.NewBook(desired.Ages{}), zerolog.New(&log), func() {})
+	entry := func(n, boot int) Entry {
+		id := fmt.Sprintf("i-%d-%d", n, boot)
+		return Entry{ID: id, Target: ragworthitch.NewTarget(ragworthitch.TargetParams{ID: id, Started: int64(boot), Service: "llm",
+			Address: fmt.Sprintf("10.0.%d.%d:80", boot, n), Zone: fmt.Sprint("z", n%5), Slots: 8})}
+	}
+	lines := func() int {
+		defer log.Reset()
+		return strings.Count(log.String(), "\n")
+	}
+	var all []Entry
+	for n := range 256 {
+		all = append(all, entry(n, 1))
+	}
+	sink.Replace(all, clock.Now())
+	assert.Contains(t, log.String(), `"count":52`)
+	assert.Equal(t, 5, lines())
+
+	var changed []Entry
+	for n := 0; n < 256; n += 5 {
+		changed = append(changed, Entry{ID: entry(n, 1).ID, Gone: true}, entry(n, 2))
+	}
+	sink.Change(changed, clock.Now())
+	assert.Contains(t, log.String(), "i-250-2", "each target can be found")
+	assert.Equal(t, 2, lines())
+
+	sink.Change([]Entry{entry(1, 3)}, clock.Now())
+	assert.Contains(t, log.String(), `"target":"i-1-3"`)
+	assert.Equal(t, 1, lines())
+	sink.Change([]Entry{entry(1, 3)}, clock.Now())
+	assert.Zero(t, lines(), "a heartbeat is no news")
+}
