budget, lend, ingress: the allowance of repeats by the number of instances, lent where it is needed

Cause: each instance took one 24th of the operator's allowance, whatever their number: 103 together 4.3 times the whole. Instances lend each other repeats (package lend): the lender counts them as used, the borrower may use them for a second. An order that was not taken leaves its repeat for the next. Ruled out: a pool by what is heard of others (taken twice when all need it at once).

--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -51,6 +51,7 @@
 		log     zerolog.Logger
 		awayAt  clock.Time // the last moment at which the store was known to be away
 		read    func()
+		news    batch
 	}
 )
 
@@ -76,10 +77,11 @@
 func (s PeerSink) Replace(rows []PeerEntry, at clock.Time) { s.Change(rows, at) }
 
 // Change takes changed peers over.
-func (s PeerSink) Change(rows []PeerEntry, _ clock.Time) {
+func (s PeerSink) Change(rows []PeerEntry, at clock.Time) {
 	for _, e := range rows {
 		s.Exchange.Know(e.Peer, e.Gone)
 	}
+	s.Exchange.Confirmed(at)
 }
 
 // Away does nothing: peers are known to each other without the store.
@@ -122,6 +124,7 @@
 		}
 	}
 	s.targets.Expire(clock.Now())
+	s.news.flush(s.log, clock.Now().Sub(at))
 }
 
 // misplaced reports whether an entry moves a known boot of a target to a
@@ -156,8 +159,7 @@
 	}
 	outcome := s.targets.Put(t, maxConns)
 	if changed || outcome != registry.Known {
-		s.log.Info().Str("target", t.ID()).Int64("started", t.Boot().Started()).Str("outcome", string(outcome)).Str("service", t.Service()).
-			Str("address", t.Address()).Str("targetZone", t.Zone()).Bool("draining", t.Draining()).Msg("discovery: target known")
+		s.news.add(newsOf{outcome: outcome, zone: t.Zone(), service: t.Service(), draining: t.Draining()}, t)
 	}
 }
 
@@ -169,6 +171,9 @@
 	if s.awayAt != 0 {
 		until = max(now, s.awayAt.Add(lapseHold))
 	}
-	s.log.Info().Str("target", id).Dur("heldFor", until.Sub(now)).Msg("discovery: target's entry gone")
+	if m := s.targets.ByID(id); m != nil {
+		t := m.Target()
+		s.news.add(newsOf{outcome: gone, zone: t.Zone(), service: t.Service(), draining: t.Draining(), held: until > now}, t)
+	}
 	s.targets.Vanish(id, now, until)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,7 +115,7 @@
 	e := &Entry{cfg: cfg, self: self, log: log, scope: scope,
 		pf: platform.NewClient(cfg.Platform.Listen, storeTime), targets: map[string]*target{}}
 	e.life = ingress.New(ingress.Config{Zone: self.Zone, Book: book, Targets: &e.members, Recall: &e.recall,
-		Budget: budget.New(repeatLimit), Sender: sender{e}, Await: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
+		Budget: budget.New(repeatLimit, nil), Sender: sender{e}, Await: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
 	return e, nil
 }
 
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -35,7 +35,7 @@
 
 // repeatLimit lets the streams of 16 engines of 32 sequences go on elsewhere
 // within its span, and half of the short calls be repeated.
-var repeatLimit = budget.Limit{Ratio: 0.5, Extra: 24 * 16 * 32, Span: 10 * time.Second}
+var repeatLimit = budget.Limit{Ratio: 0.5, Extra: 16 * 32, Span: 10 * time.Second}
 
 // newBook returns the settings as a desired state. It is in force as long as
 // the process lives.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -71,12 +71,13 @@
 		recall  *recall.Recall
 		log     zerolog.Logger
 
-		mu    sync.Mutex
-		ctx   context.Context
-		heard map[string]*wire.Conn // the newest connection that brought a peer's view, by node
-		known map[string]Peer       // by node
-		peers map[string]*link      // of those that are told
-		news  chan struct{}         // closed when there is something to tell at once
+		mu        sync.Mutex
+		ctx       context.Context
+		heard     map[string]*wire.Conn // the newest connection that brought a peer's view, by node
+		known     map[string]Peer       // by node
+		confirmed clock.Time            // up to when known is complete; 0: it was never read
+		peers     map[string]*link      // of those that are told
+		news      chan struct{}         // closed when there is something to tell at once
 	}
 
 	// report is what a peer was told of a target.
@@ -150,6 +151,22 @@
 	return slices.Collect(maps.Values(e.known))
 }
 
+// Confirmed notes that the table of instances was complete up to a moment.
+func (e *Exchange) Confirmed(at clock.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.confirmed = max(e.confirmed, at)
+}
+
+// Entries is how many instances there are, this one among them, and up to when
+// that is known to be right; ok is false if the table of them was not read yet.
+// It is a budget.Entries.
+func (e *Exchange) Entries() (n int, at clock.Time, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.known) + 1, e.confirmed, e.confirmed != 0
+}
+
 // choose keeps links to the peers that are to be told; e.mu is held.
 func (e *Exchange) choose() {
 	if e.ctx == nil {
--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -59,7 +59,7 @@
 	for _, place := range p.cluster.Places() {
 		in.targets.Put(p.cluster.Target(place), 0)
 	}
-	cfg := ingress.Config{Zone: zone, Book: book, Targets: &in.targets, Recall: &in.recall, Budget: budget.New(repeats),
+	cfg := ingress.Config{Zone: zone, Book: book, Targets: &in.targets, Recall: &in.recall, Budget: budget.New(repeats, p.sharers),
 		Sender: emulator.Sender{Cluster: p.cluster, Zone: zone}, Engines: p.variant.Engines, Speeds: p.variant.Speeds, Log: zerolog.Nop()}
 	if !p.variant.Alone {
 		cfg.Tell = in.tell
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -75,6 +75,9 @@
 	return p.result(), ctx.Err()
 }
 
+// sharers is how many instances share the limit on repeats, all of them known.
+func (p *play) sharers() (int, clock.Time, bool) { return p.load.Entries, clock.Now(), true }
+
 // Compare plays so many draws of a load with every variant, all at the same
 // time; no play knows of the others.
 func Compare(ctx context.Context, l Load, variants []Variant, draws int) ([]Result, error) {
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -72,7 +72,7 @@
 		bubble(t, tt.name, func(t *testing.T) {
 			s := &pausingSender{pause: 3 * time.Second, refuses: tt.refuses}
 			h := modelHandler(t, s, ragworthitch.CallStream)
-			h.budget = budget.New(budget.Limit{Extra: tt.repeats, Span: 10 * time.Second})
+			h.budget = budget.New(budget.Limit{Extra: tt.repeats, Span: 10 * time.Second}, nil)
 			w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
 			assert.False(t, cut)
 			assert.Equal(t, http.StatusOK, w.Code)
@@ -81,3 +81,61 @@
 		})
 	}
 }
+
+// The load: the engines of an instance's zone are lost, and its part of the budget
+// is used up. Its streams go on with repeats that others lend.
+func TestBorrowedRepeat(t *testing.T) {
+	bubble(t, "", func(t *testing.T) {
+		s := &pausingSender{pause: 3 * time.Second, refuses: true}
+		h := modelHandler(t, s, ragworthitch.CallStream)
+		h.budget = budget.New(budget.Limit{Span: 10 * time.Second}, nil)
+		asked := 0
+		h.borrow = func(_ context.Context, service string) {
+			asked++
+			h.budget.Borrowed(service, 1, clock.Now())
+		}
+		w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
+		assert.False(t, cut)
+		assert.Contains(t, w.Body.String(), "id: 4\n")
+		assert.Equal(t, 2, s.runs)
+		assert.Equal(t, 1, asked)
+	})
+}
+
+// refusedSender breaks the first run after an event; the next targets refuse the
+// connection.
+type refusedSender struct{ orders, refused int }
+
+// Send answers one order.
+func (s *refusedSender) Send(_ context.Context, o *Order) (*Reply, error) {
+	s.orders++
+	if s.orders > 1 && s.orders <= 1+s.refused {
+		return nil, upstream.ErrNotSent
+	}
+	events := func(emit func(Event) bool) error {
+		if o.After == "" {
+			emit(Event{Raw: []byte("id: 1\ndata: a\n\n"), ID: 1})
+			return errBroken
+		}
+		emit(Event{Raw: []byte("id: 2\ndata: b\n\n"), ID: 2})
+		return nil
+	}
+	return &Reply{Status: http.StatusOK, Sized: true, Header: http.Header{}, Body: http.NoBody, Events: events}, nil
+}
+
+// Probe finds everybody.
+func (*refusedSender) Probe(context.Context, *registry.Member) error { return nil }
+
+// The load: a zone is lost at once, and streams that move find engines there, or
+// where they have their copies, that take no connection. What has not arrived at a
+// target is no repeat: one repeat in the budget is enough, however many refuse. On
+// a day with 1,500 lost runs, 500 orders were not taken.
+func TestRefusedOrderIsNoRepeat(t *testing.T) {
+	s := &refusedSender{refused: 3}
+	h := modelHandler(t, s, ragworthitch.CallStream)
+	h.budget = budget.New(budget.Limit{Extra: 1, Span: 10 * time.Second}, nil)
+	w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
+	assert.False(t, cut)
+	assert.Contains(t, w.Body.String(), "id: 2\n")
+	assert.False(t, h.budget.Spend("llm", clock.Now()), "the repeat is used")
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -53,6 +53,7 @@
 		engines EnginePolicy
 		await   time.Duration
 		tell    func()
+		borrow  func(ctx context.Context, service string)
 		ready   func() bool
 		links   health.Links
 		paces   pace.Services
@@ -81,8 +82,11 @@
 		Await   time.Duration // how long a stream that lost its target waits for another to appear
 		Ready   func() bool   // callers are served well here; nil: always
 		Tell    func()        // has other instances told of this one's work; nil: nobody
-		Log     zerolog.Logger
-		Scope   tally.Scope
+		// Borrow has repeats of a service borrowed of other instances for the
+		// budget, and returns when that has been tried; nil: nobody lends.
+		Borrow func(ctx context.Context, service string)
+		Log    zerolog.Logger
+		Scope  tally.Scope
 	}
 )
 
@@ -91,13 +95,16 @@
 	if cfg.Tell == nil {
 		cfg.Tell = func() {}
 	}
+	if cfg.Borrow == nil {
+		cfg.Borrow = func(context.Context, string) {}
+	}
 	if cfg.Engines == nil {
 		cfg.Engines = route.Engines{}
 	}
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
-	return &Handler{tell: cfg.Tell, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
+	return &Handler{tell: cfg.Tell, borrow: cfg.Borrow, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
 		send: cfg.Sender, engines: cfg.Engines, speeds: cfg.Speeds, await: cfg.Await, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -42,16 +42,18 @@
 
 // again reports whether the call may be sent once more: targets are left and
 // the repeat budget has room.
-func (j *job) again(now clock.Time) bool {
+func (j *job) again(ctx context.Context) bool {
 	if j.sends == 0 {
 		return true
 	}
 	if j.sends >= j.g.Route.MaxTargets() {
 		return false
 	}
-	if !j.reserve(now) {
+	if !j.borrow(ctx) {
+		now := clock.Now()
 		j.h.stats.overBudget.Inc(1)
-		j.h.log.Info().Str("request", j.c.ID).Str("service", j.service()).Int("sends", j.sends).Msg("ingress: no repeat left in the budget")
+		j.h.log.Info().Str("request", j.c.ID).Str("service", j.service()).Int("sends", j.sends).
+			Int("sharedBy", j.h.budget.Sharers(now)).Msg("ingress: no repeat left in the budget")
 		return false
 	}
 	j.reserved = false
@@ -65,6 +67,22 @@
 	return j.reserved
 }
 
+// unsent notes that an order has not reached its target: the repeat that was taken
+// for it, if it was not the first, is left for the next.
+func (j *job) unsent() {
+	j.sends--
+	j.reserved = j.reserved || j.sends > 0
+}
+
+// borrow is reserve, and where there was none borrows of other instances.
+func (j *job) borrow(ctx context.Context) bool {
+	if j.reserve(clock.Now()) {
+		return true
+	}
+	j.h.borrow(ctx, j.service())
+	return j.reserve(clock.Now())
+}
+
 // pickPlain chooses a target of a plain service, or nil.
 func (j *job) pickPlain(now clock.Time) *registry.Member {
 	ms := j.h.targets.Service(j.service())
--- a/ingress/model_test.go
+++ b/ingress/model_test.go
@@ -128,7 +128,7 @@
 			Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: string(rune('a' + i%3)), Slots: 8}), 0)
 	}
 	return New(Config{Zone: "a", Book: book, Targets: &targets, Recall: &recall.Recall{}, Sender: s, Log: zerolog.Nop(),
-		Budget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Span: 10 * time.Second})})
+		Budget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Span: 10 * time.Second}, nil)})
 }
 
 // serve serves one call and says whether the answer was cut.
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -55,12 +55,11 @@
 	tries := make(chan try, maxDials+j.g.Route.MaxTargets())
 	pending, dials := 0, 0
 	launch := func() bool {
-		now := clock.Now()
 		if dials >= maxDials {
 			return false
 		}
-		m := j.pickPlain(now)
-		if m == nil || !j.again(now) {
+		m := j.pickPlain(clock.Now())
+		if m == nil || !j.again(ctx) {
 			return false
 		}
 		dials++
@@ -119,7 +118,7 @@
 func (j *job) settled(t try) bool {
 	switch {
 	case t.err != nil && errors.Is(t.err, upstream.ErrNotSent):
-		j.sends--
+		j.unsent()
 		return false
 	case t.err != nil:
 		j.mayRun = true
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	if sent := <-r.sent; errors.Is(sent, upstream.ErrNotSent) {
-		r.s.sends--
+		r.s.unsent()
 		return fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
 	}
 	return err
@@ -143,7 +143,7 @@
 			}
 		case <-lost:
 			now := clock.Now()
-			if r.mayLeave(now) {
+			if r.mayLeave(ctx, now) {
 				return errLost
 			}
 			lost, r.gone = nil, true
@@ -212,7 +212,7 @@
 	s, now := r.s, clock.Now()
 	switch {
 	case n.err != nil && errors.Is(n.err, upstream.ErrNotSent):
-		s.sends--
+		s.unsent()
 		if ctx.Err() == nil {
 			s.failed(r.m, health.CauseRefused, n.err)
 		}
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -88,7 +88,7 @@
 	if !r.answered && r.from == nil {
 		probe = times(firstProbeShare, r.gap)
 	}
-	if (quiet >= move || r.gone) && r.mayLeave(now) {
+	if (quiet >= move || r.gone) && r.mayLeave(ctx, now) {
 		r.gaveUp(quiet)
 		return true
 	}
@@ -102,8 +102,8 @@
 // mayLeave reports whether the run can be given up: there is a repeat for its
 // stream to go on with. Without one, giving it up would end a stream whose
 // target may be no worse than slow.
-func (r *run) mayLeave(now clock.Time) bool {
-	if r.s.reserve(now) {
+func (r *run) mayLeave(ctx context.Context, now clock.Time) bool {
+	if r.s.borrow(ctx) {
 		return true
 	}
 	if !r.kept {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -87,7 +87,7 @@
 			return
 		}
 		s.lost(r, err)
-		if s.mayRun && !s.g.Route.Idempotent() || !s.again(clock.Now()) || s.fails >= maxDials+s.g.Route.MaxTargets() {
+		if s.mayRun && !s.g.Route.Idempotent() || !s.again(ctx) || s.fails >= maxDials+s.g.Route.MaxTargets() {
 			s.end(ctx, http.StatusBadGateway, "no target left to go on", err)
 			return
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/ragworthitch/ragworthitch/discovery"
 	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/ingress"
+	"github.com/ragworthitch/ragworthitch/lend"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
@@ -80,6 +81,7 @@
 	unreadable *platform.Unreadable
 	contact    discovery.Contact
 	relay      *relay.Server
+	budget     *budget.Budget
 	notes      notes
 	read       atomic.Bool // the targets' table has been read
 }
@@ -96,8 +98,9 @@
 	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, log)
 	i.notes.recall = &i.recall
 	i.relay = &relay.Server{Tables: i.caches(), Leaving: i.leaving, Keep: i.notes.keep, Log: log}
-	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall,
-		Budget: budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}),
+	i.budget = budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}, i.peers.Entries)
+	borrower := &lend.Borrower{Zone: boot.Zone(), Peers: i.peers.Known, Budget: i.budget, Log: log}
+	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall, Budget: i.budget, Borrow: borrower.Borrow,
 		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
 	return i
 }
@@ -192,6 +195,7 @@
 	r := httprouter.New()
 	r.Handler(http.MethodGet, wire.ViewPath, i.peers)
 	r.Handler(http.MethodGet, wire.TablePath, i.relay)
+	r.Handler(http.MethodGet, wire.LoanPath, &lend.Lender{Budget: i.budget, Log: i.log})
 	if i.metrics != nil {
 		r.Handler(http.MethodGet, metricsPath, i.metrics)
 	}
--- /dev/null
+++ b/wire/loan.go
@@ -0,0 +1,88 @@
+package wire
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// LoanPath is where an entry instance lends repeats to others.
+const LoanPath = "/v1/loan"
+
+const (
+	// maxLoan bounds a loan's frame, and maxRepeats what one may ask for.
+	maxLoan    = 1 << 10
+	maxRepeats = 64
+)
+
+type (
+	// Loan asks an instance for repeats of a service out of its budget, or says
+	// how many it gives. One is answered after the other on a connection.
+	Loan struct {
+		Service string
+		Repeats int
+	}
+
+	loanFrame struct {
+		_ struct{} `cbor:",toarray"`
+		S string
+		N int
+	}
+)
+
+// EncodeLoan maps a loan to its CBOR frame.
+func EncodeLoan(l Loan) ([]byte, error) {
+	return cbor.Marshal(loanFrame{S: l.Service, N: l.Repeats})
+}
+
+// DecodeLoan maps a CBOR frame to a loan; errors wrap ErrBadFrame.
+func DecodeLoan(b []byte) (Loan, error) {
+	var f loanFrame
+	if err := cbor.Unmarshal(b, &f); err != nil {
+		return Loan{}, fmt.Errorf("%w: %v", ErrBadFrame, err)
+	}
+	if f.N < 0 || f.N > maxRepeats {
+		return Loan{}, fmt.Errorf("%w: loan of %d repeats", ErrBadFrame, f.N)
+	}
+	return Loan{Service: f.S, Repeats: f.N}, nil
+}
+
+// DialLoan connects to the instance at addr (host:port) to borrow of it.
+func DialLoan(ctx context.Context, addr string) (*Conn, error) {
+	return dial(ctx, addr, LoanPath, maxLoan)
+}
+
+// AcceptLoan takes a connection of an instance that borrows.
+func AcceptLoan(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+	return accept(w, r, maxLoan)
+}
+
+// Borrow asks for a loan and returns how many repeats are lent. After an error
+// the connection is of no more use.
+func (c *Conn) Borrow(ctx context.Context, l Loan) (int, error) {
+	if err := c.SendLoan(ctx, l); err != nil {
+		return 0, err
+	}
+	got, err := c.RecvLoan(ctx)
+	return min(got.Repeats, l.Repeats), err
+}
+
+// SendLoan writes a loan.
+func (c *Conn) SendLoan(ctx context.Context, l Loan) error {
+	b, err := EncodeLoan(l)
+	if err != nil {
+		return err
+	}
+	return c.write(ctx, b)
+}
+
+// RecvLoan reads a loan.
+func (c *Conn) RecvLoan(ctx context.Context) (Loan, error) {
+	b, err := c.read(ctx)
+	if err != nil {
+		return Loan{}, err
+	}
+	return DecodeLoan(b)
+}
--- /dev/null
+++ b/wire/loan_test.go
@@ -0,0 +1,31 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzLoan feeds arbitrary frames to DecodeLoan: it must refuse or decode, never
+// panic, and what it decodes is within bounds and encodes back to the same.
+func FuzzLoan(f *testing.F) {
+	for _, l := range []Loan{{}, {Service: "llm", Repeats: 4}, {Service: "llm", Repeats: -1}, {Repeats: maxRepeats + 1}} {
+		b, _ := EncodeLoan(l)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		l, err := DecodeLoan(b)
+		if err != nil {
+			require.ErrorIs(t, err, ErrBadFrame)
+			return
+		}
+		assert.GreaterOrEqual(t, l.Repeats, 0)
+		assert.LessOrEqual(t, l.Repeats, maxRepeats)
+		again, err := EncodeLoan(l)
+		require.NoError(t, err)
+		got, err := DecodeLoan(again)
+		require.NoError(t, err)
+		assert.Equal(t, l, got)
+	})
+}
