--- a/registry/boots.go
+++ b/registry/boots.go
@@ -14,9 +14,8 @@
 	staleFor = 4 * time.Second
 
 	// maxEnded bounds what is remembered of boots that have ended: ten times
-	// the targets of the largest deployment expected. Beyond it any are
-	// forgotten; an old entry that comes later still costs one refused
-	// connection.
+	// the 740 targets expected in two years. Beyond it any are forgotten; an old
+	// entry that comes later still costs one refused connection.
 	maxEnded = 8192
 
 	// lateWrites is the span over which the writes of an ended boot may reach
