--- a/ingress/job.go
+++ b/ingress/job.go
@@ -27,7 +27,6 @@
 	sends    int  // orders that reached a target, or may have
 	mayRun   bool // one of them may have run
 	tried    []*registry.Member
-	more     int // sends beyond the targets that it may go to
 	// reserved: the next repeat is already taken out of the budget.
 	reserved bool
 }
@@ -47,7 +46,7 @@
 	if j.sends == 0 {
 		return true
 	}
-	if j.sends >= j.g.Route.MaxTargets()+j.more {
+	if j.sends >= j.g.Route.MaxTargets() {
 		return false
 	}
 	if !j.borrow(ctx) {
@@ -68,16 +67,6 @@
 	return j.reserved
 }
 
-// onceMore allows a call that has gone to all targets that it may go to one send
-// more, to one of these, and reports whether it has not been allowed before.
-func (j *job) onceMore() bool {
-	if j.sends < j.g.Route.MaxTargets() || j.more >= moreSends {
-		return false
-	}
-	j.more++
-	return true
-}
-
 // unsent notes that an order has not reached its target: the repeat that was taken
 // for it, if it was not the first, is left for the next.
 func (j *job) unsent() {
@@ -100,7 +89,7 @@
 	cands := make([]route.PlainCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
-		cands[i] = route.PlainCandidate{Takes: m.Takes(now) && j.hasTried(m) == (j.more > 0), LatencyMs: m.Health().Latency(),
+		cands[i] = route.PlainCandidate{Takes: m.Takes(now) && !j.hasTried(m), LatencyMs: m.Health().Latency(),
 			Errors: m.Health().Errors(now), Running: m.Work().All().Running, Slots: t.Slots(), Cold: m.Cold(now),
 			SameZone: t.Zone() == j.h.zone, Loss: j.h.links.Loss(t.Zone(), now), Jitter: rand.Float64()}
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -29,11 +29,6 @@
 	minHedge = 40 * time.Millisecond
 	// maxAnswer bounds a buffered answer; plain services answer in a few kB.
 	maxAnswer = 8 << 20
-	// moreSends is how often a call that may be repeated, and that all targets it
-	// may go to have failed by themselves, is sent to one of them once more. Where
-	// targets fail a quarter of the calls of a kind, 7 in 100 fail at two targets
-	// and 2 in 100 three times; each further one would mend a quarter of the rest.
-	moreSends = 1
 	// hungAfter is how long a target that has sent nothing may have had a
 	// call that was given up before that counts against it: some 10 times a
 	// plain service's work.
@@ -95,9 +90,7 @@
 			if j.mayRun && !safe {
 				break // it may run once only
 			}
-			if !launch() && safe && pending == 0 && last != nil && j.onceMore() {
-				launch()
-			}
+			launch()
 		case <-hedge.C:
 			if safe && pending > 0 && launch() {
 				j.h.stats.hedged.Inc(1)
