--- a/relay/cache.go
+++ b/relay/cache.go
@@ -22,7 +22,7 @@
 	settling = 6 * time.Second
 	// stillHere is how often a row's writes that change nothing are told
 	// otherwise. With a heartbeat of 1.2 s that is one write in eight: 256
-	// targets come to 3 kB a second for each instance, in place of 25 kB.
+	// targets come to 5 kB a second for each instance, in place of 43 kB.
 	stillHere = 10 * time.Second
 
 	// failTime is how long an instance that does not reach the store any more
