loopback: a free port is not held by a process that is being started

Ruled out: other test processes (blocks are claimed), the ephemeral range (32768 and up). Change: no process is started while a port is tried (syscall.ForkLock).

--- a/loopback/ports.go
+++ b/loopback/ports.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Ports for processes under test lie below the kernel's ephemeral range
@@ -83,16 +84,27 @@
 	for b.next < b.end {
 		p := b.next
 		b.next++
-		ln, err := listen(p)
-		if err != nil {
-			continue
+		if free(p) {
+			return p, true
 		}
-		ln.Close()
-		return p, true
 	}
 	return 0, false
 }
 
+// free reports whether nothing listens on a port. No process is started while it
+// is tried: until a child has replaced its program it holds all that was open when
+// it was forked, and the port would seem taken to the process it was found for.
+func free(port int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	ln, err := listen(port)
+	if err != nil {
+		return false
+	}
+	ln.Close()
+	return true
+}
+
 func listen(port int) (net.Listener, error) {
 	return net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 }
