relay, instance: waits of 0.4 s where one instance reads for others

Counting it out: with the first two instances of a zone hearing nothing from the store, their askers find the first out after 1.6 s, the second 0.3 s later, and read for themselves 40 ms after that, 2.0 s, which is the bound. Change: 0.4 s in place of 0.5 s: 1.7 s by the same count. Test: relay.TestSpread, bound unchanged.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -39,8 +39,8 @@
 	// toldWait is the longest wait for changes where one instance reads for
 	// others: a target that leaves, and a new desired state, have to be known within
 	// 2 s at the least, also where the one that reads stands still or is cut off. It
-	// costs a call more in each zone and second.
-	toldWait = 500 * time.Millisecond
+	// costs two calls more in each zone and second.
+	toldWait = 400 * time.Millisecond
 )
 
 // caches are the tables that this instance keeps for others, by name.
