--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -36,7 +36,7 @@
 	storeLag    = 4 * time.Millisecond
 	linkLag     = 200 * time.Microsecond
 	pollWait    = 800 * time.Millisecond
-	toldWait    = 500 * time.Millisecond
+	toldWait    = 400 * time.Millisecond
 	pollGap     = 400 * time.Millisecond
 	rereadGap   = 10 * time.Second
 	// startTime is how long a start may take until it counts for the bounds,
