--- a/soak/links.go
+++ b/soak/links.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"syscall"
 
 	"github.com/ragworthitch/ragworthitch/loopback"
 )
@@ -23,6 +24,10 @@
 		ls.by, ls.faults = map[[2]string]*loopback.Link{}, map[[2]string]Fault{}
 	}
 	ends := [2]string{from, to}
+	// No process is started between the end of the old link and the begin of the
+	// new one: until it has replaced its program it would hold the old one's port.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	if old := ls.by[ends]; old != nil {
 		old.Close()
 	}
