--- a/relay/asker_test.go
+++ b/relay/asker_test.go
@@ -30,11 +30,7 @@
 // each is sent to the store for that, once, and goes on asking.
 func TestLargeRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cache := NewCache(sameRow, time.Minute)
-		server := &Server{Tables: map[string]*Cache{table: cache}, Leaving: func() bool { return false }, Log: zerolog.Nop()}
-		a := &Asker{Table: table, Choice: NewChoice("me", "z", func() []exchange.Peer { return []exchange.Peer{{Node: before("me", "z"), Zone: "z"}} }),
-			Cache: NewCache(sameRow, time.Minute), Dial: func(context.Context, string) (Conn, error) { return local{server}, nil }, Log: zerolog.Nop()}
-		cache.ask(clock.Now())
+		cache, a := asked()
 		row := func(version int64, size int) platform.StoredRow {
 			return platform.StoredRow{RowID: platform.RowID{Table: table, Key: "state"}, Version: version, Value: bytes.Repeat([]byte("x"), size)}
 		}
@@ -55,6 +51,16 @@
 	})
 }
 
+// asked are the cache of an instance that is asked for its table, and its asker.
+func asked() (*Cache, *Asker) {
+	cache := NewCache(sameRow, time.Minute)
+	server := &Server{Tables: map[string]*Cache{table: cache}, Leaving: func() bool { return false }, Log: zerolog.Nop()}
+	a := &Asker{Table: table, Choice: NewChoice("me", "z", func() []exchange.Peer { return []exchange.Peer{{Node: before("me", "z"), Zone: "z"}} }),
+		Cache: NewCache(sameRow, time.Minute), Dial: func(context.Context, string) (Conn, error) { return local{server}, nil }, Log: zerolog.Nop()}
+	cache.ask(clock.Now())
+	return cache, a
+}
+
 // before is a name that comes before another in the order of a zone.
 func before(name, zone string) string {
 	for c := 'a'; ; c++ {
@@ -70,11 +76,7 @@
 // count for two seconds after its return, at those who ask, too.
 func TestAwayIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cache := NewCache(sameRow, time.Minute)
-		server := &Server{Tables: map[string]*Cache{table: cache}, Leaving: func() bool { return false }, Log: zerolog.Nop()}
-		a := &Asker{Table: table, Choice: NewChoice("me", "z", func() []exchange.Peer { return []exchange.Peer{{Node: before("me", "z"), Zone: "z"}} }),
-			Cache: NewCache(sameRow, time.Minute), Dial: func(context.Context, string) (Conn, error) { return local{server}, nil }, Log: zerolog.Nop()}
-		cache.ask(clock.Now())
+		cache, a := asked()
 		cache.Replace(nil, 1, clock.Now())
 		p, err := a.Whole(t.Context(), platform.Range{})
 		assert.NoError(t, err)
