--- a/relay/asker.go
+++ b/relay/asker.go
@@ -107,7 +107,7 @@
 
 // ask asks the next instance, and notes if it does not answer. It gives up when
 // others ask this instance: it then has to read for them.
-func (a *Asker) ask(ctx context.Context, q wire.Question) (platform.Page, error) {
+func (a *Asker) ask(life context.Context, q wire.Question) (platform.Page, error) {
 	now := clock.Now()
 	p, ok := a.Choice.Next(now)
 	asked, begins := a.Cache.Asked(now)
@@ -117,7 +117,7 @@
 	if a.failed {
 		q.Wait = 0 // knowledge has grown old by now
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+answerTime)
+	ctx, cancel := context.WithTimeout(life, q.Wait+answerTime)
 	defer cancel()
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
@@ -151,7 +151,7 @@
 	}
 	a.Log.Warn().Str("table", a.Table).Str("peer", p.Node).Int64("version", q.After).Dur("after", clock.Now().Sub(now)).Err(err).
 		Msg("relay: instance not asked for a while")
-	clock.Sleep(ctx, rand.N(time.Duration(a.Choice.Size())*spread))
+	clock.Sleep(life, rand.N(time.Duration(a.Choice.Size())*spread))
 	return page, err
 }
 
--- a/relay/asker_test.go
+++ b/relay/asker_test.go
@@ -65,3 +65,29 @@
 		}
 	}
 }
+
+// When the store was away is told along: entries of targets that lapsed meanwhile
+// count for two seconds after its return, at those who ask, too.
+func TestAwayIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := NewCache(sameRow, time.Minute)
+		server := &Server{Tables: map[string]*Cache{table: cache}, Leaving: func() bool { return false }, Log: zerolog.Nop()}
+		a := &Asker{Table: table, Choice: NewChoice("me", "z", func() []exchange.Peer { return []exchange.Peer{{Node: before("me", "z"), Zone: "z"}} }),
+			Cache: NewCache(sameRow, time.Minute), Dial: func(context.Context, string) (Conn, error) { return local{server}, nil }, Log: zerolog.Nop()}
+		cache.ask(clock.Now())
+		cache.Replace(nil, 1, clock.Now())
+		p, err := a.Whole(t.Context(), platform.Range{})
+		assert.NoError(t, err)
+		assert.Zero(t, p.Away)
+
+		cache.Failed(clock.Now())
+		time.Sleep(300 * time.Millisecond)
+		back := clock.Now()
+		cache.Change(stored([]string{"a gone"}, 2), 2, back)
+		time.Sleep(time.Second)
+		p, err = a.Changes(t.Context(), table, 1, 0)
+		assert.NoError(t, err)
+		assert.Len(t, p.Rows, 1)
+		assert.Equal(t, back, p.Away)
+	})
+}
--- a/scripts/regress.py
+++ b/scripts/regress.py
@@ -43,5 +43,5 @@
         if score == "yes":
             bad += "GATE passed" not in play("score", site)
     if both or a.hunt:
-        bad += not re.search(r"\b0 (broken|days? (with|broke))|no rule", play("hunt", site, "--days", days))
+        bad += ", 0 with a rule broken" not in play("hunt", site, "--days", days)
 sys.exit(bad > 0)
