ingress: lines on a request tell which tries are the same request

Cause: the logs of the incident named each try by an id of its own and nothing that the tries have in common, so that a request that ends engines could not be told from engines that end by themselves. Change: a fingerprint of method, host, URI, organisation and body in the lines on sends and failures; for how long an engine had generated when a run ended early. Tests of ingress, poison, entry passed.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -192,7 +192,7 @@
 func (s *Stream) start(first int) {
 	ctx, cancel := context.WithCancel(s.e.base())
 	s.stop, s.first = cancel, first
-	c := &ingress.Call{ID: s.req.ID(), Method: http.MethodPost, Path: generatePath + s.req.Model() + "/", Key: s.req.Org(),
+	c := &ingress.Call{ID: s.req.ID(), Method: http.MethodPost, Path: generatePath + s.req.Model() + "/", Key: s.req.Org(), Body: []byte(s.prompt),
 		Prompt: s.req.PromptTokens(), Output: s.req.MaxTokens(), Subject: s.subject(), Received: clock.Now()}
 	if n := len(s.tokens); n > 0 {
 		c.After = strconv.Itoa(n)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/pace"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
@@ -143,7 +144,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	h.budget.Called(g.Service.Name(), now)
-	j := &job{h: h, w: w, c: c, g: g, deadline: now.Add(limit)}
+	j := &job{h: h, w: w, c: c, g: g, print: poison.Of(c.Method, c.Host, c.URI, g.Org, c.Body), deadline: now.Add(limit)}
 	if g.Route.Kind() != ragworthitch.CallStream {
 		j.plain(ctx)
 		return
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/pace"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/upstream"
@@ -23,6 +24,7 @@
 	w        http.ResponseWriter
 	c        *Call
 	g        desired.Grant
+	print    poison.Fingerprint // the same for all tries of the request
 	deadline clock.Time
 	sends    int  // orders that reached a target, or may have
 	mayRun   bool // one of them may have run
@@ -314,7 +316,7 @@
 // log writes the line of a call that is not answered by a target's success.
 func (j *job) log(status int, cause string, err error) {
 	now := clock.Now()
-	j.h.log.Warn().Str("request", j.c.ID).Str("route", j.g.Route.Name()).Str("kind", j.g.Route.Kind().String()).
+	j.h.log.Warn().Str("request", j.c.ID).Stringer("fingerprint", j.print).Str("route", j.g.Route.Name()).Str("kind", j.g.Route.Kind().String()).
 		Str("service", j.service()).Str("org", j.g.Org).Int64("version", j.g.Version).Dur("proofAge", j.g.Age).
 		Int("sends", j.sends).Bool("mayHaveRun", j.mayRun).Dur("after", now.Sub(j.c.Received)).Int("status", status).
 		Str("cause", cause).AnErr("error", err).Msg("ingress: call failed")
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -173,7 +173,7 @@
 		j.failed(t.m, health.CauseRefused, t.err)
 	case t.err != nil:
 		t.m.Health().Answered(now, took, true)
-		j.h.log.Warn().Str("request", j.c.ID).Str("target", t.m.Target().ID()).Dur("after", took).Err(t.err).Msg("ingress: no whole answer")
+		j.h.log.Warn().Str("request", j.c.ID).Stringer("fingerprint", j.print).Str("target", t.m.Target().ID()).Dur("after", took).Err(t.err).Msg("ingress: no whole answer")
 	case t.reply.Elsewhere:
 		j.elsewhere(t.m)
 	default:
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -41,9 +41,10 @@
 		fresh   int // numbered events that the caller did not have yet
 		// answered: the answer's head has come. Engines send it when they
 		// begin to generate.
-		answered bool
-		gone     bool // its target was found lost, and nothing has come since
-		kept     bool // it is kept as there is no repeat to go on with
+		answered   bool
+		answeredAt clock.Time
+		gone       bool // its target was found lost, and nothing has come since
+		kept       bool // it is kept as there is no repeat to go on with
 	}
 
 	// news is what a run's reader reports: a head, an event or an end.
@@ -91,6 +92,14 @@
 	tell(news{err: err, end: true})
 }
 
+// generated is for how long the run's engine has generated, as far as was seen.
+func (r *run) generated(now clock.Time) time.Duration {
+	if !r.answered {
+		return 0
+	}
+	return now.Sub(r.answeredAt)
+}
+
 // settle makes sure of how a run that was given up, its context cancelled, has
 // ended: an order that had not left yet, because its target was still being
 // connected to, has not run.
@@ -125,7 +134,7 @@
 			r.heard, r.gone = now, false
 			if n.reply != nil {
 				head = n.reply
-				r.answered = true
+				r.answered, r.answeredAt = true, now
 			}
 			if n.end {
 				return r.ended(ctx, head, n)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -129,8 +129,8 @@
 	if !r.answered || !errors.Is(err, upstream.ErrNotSent) { // it did not just decline the order
 		s.losses = append(s.losses, loss{zone: m.Target().Zone(), at: now})
 	}
-	s.h.log.Warn().Str("request", s.c.ID).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
-		Int64("lastEvent", s.last).Bool("answered", r.answered).Int("events", r.events).Dur("ran", now.Sub(r.begun)).Dur("quiet", now.Sub(r.heard)).
+	s.h.log.Warn().Str("request", s.c.ID).Stringer("fingerprint", s.print).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Bool("fromCopy", r.from != nil).
+		Int64("lastEvent", s.last).Bool("answered", r.answered).Dur("generated", r.generated(now)).Int("events", r.events).Dur("ran", now.Sub(r.begun)).Dur("quiet", now.Sub(r.heard)).
 		Dur("after", now.Sub(s.c.Received)).Int("sends", s.sends).Err(err).Msg("resume: run ended early")
 }
 
@@ -198,7 +198,7 @@
 func (s *stream) logSend(m, from *registry.Member, o *Order, toRead int) {
 	load, p := m.Work().All(), s.pace()
 	gap := s.job.gap(m, p, clock.Now())
-	s.h.log.Info().Str("request", s.c.ID).Str("route", s.g.Route.Name()).Str("org", s.g.Org).Int64("version", s.g.Version).
+	s.h.log.Info().Str("request", s.c.ID).Stringer("fingerprint", s.print).Str("route", s.g.Route.Name()).Str("org", s.g.Org).Int64("version", s.g.Version).
 		Dur("proofAge", s.g.Age).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
 		Int("tokens", load.Tokens).Bool("fromCopy", from != nil).Str("copyTo", o.BackupAt).Int64("afterEvent", s.last).Int("prompt", s.c.Prompt).
 		Uint8("rank", uint8(o.Rank)).Dur("engineGap", gap).Dur("expected", p.First(toRead, gap)).
