poison: requests that crash the targets which run them are condemned, everywhere

Callers saw: a request under which three engines had ended was sent to engines 18 and 24 times more; 34 and 59 of them ended, each with the streams aboard, and a minute of plans and reviews came late or was lost.

Cause: a target that crashes is taken for lost by itself, whatever it ran. Its calls go on at the next one, up to five for each try, and nothing was kept of a request beyond its try: each try, and each instance, began without knowing what the same request had done before.

Change: instances note which requests had just begun when a target crashed (package poison: fingerprint of organisation, method, host, path and body), tell each other (along with their views, told on, four peers of other zones among them) and keep it in the store, where instances that start find it. A request under which three targets have crashed is rejected at once, with 500 and the time after which it may be tried; runs of it that wait at their targets are given up. Guilt is told from bad luck by how soon after the run began the target crashed (one event at most), whether others of its zone or service were lost with it, who else was aboard, runs that end well, and how often targets crash by themselves. After 30 s, and then ten times as long, or when the service has a new version, one instance tries it once, by a conditional write.

Why it holds: the verdict does not depend on which instance sees the crashes or gets the request, nor on the store while instances run; a restart finds it in the store.

--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -9,6 +9,7 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/exchange"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
 
@@ -43,6 +44,13 @@
 		Log  zerolog.Logger
 	}
 
+	// CrashSink takes crashes over into a poison.Book. Read is called after each whole
+	// reading of the table.
+	CrashSink struct {
+		Book *poison.Book
+		Read func()
+	}
+
 	// TargetSink takes entries over into a Registry. Make one with
 	// NewTargetSink.
 	TargetSink struct {
@@ -87,6 +95,18 @@
 // Away does nothing: peers are known to each other without the store.
 func (s PeerSink) Away(clock.Time) {}
 
+// Replace makes the book hold what the store has.
+func (s CrashSink) Replace(rows []poison.Row, _ clock.Time) {
+	s.Book.Replace(rows, clock.Now())
+	s.Read()
+}
+
+// Change takes changed rows over.
+func (s CrashSink) Change(rows []poison.Row, _ clock.Time) { s.Book.Change(rows, clock.Now()) }
+
+// Away does nothing: instances tell each other of crashes.
+func (s CrashSink) Away(clock.Time) {}
+
 // NewTargetSink returns a sink into targets; read is called after each whole
 // reading of the table.
 func NewTargetSink(targets *registry.Registry, book *desired.Book, log zerolog.Logger, read func()) *TargetSink {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,16 +1,16 @@
 // Package exchange keeps entry instances informed of each other's work at
 // the targets, so that calls which arrive at many instances together are not
 // all sent to the same target. An instance sends its view to every other one
-// when it changes; views are hints, and each may be late or missing.
+// when it changes; views are hints, and each may be late or missing. Along with
+// them goes what is known of requests that crash targets; it is told on, and so
+// reaches instances that are not told of each other's work, within moments and
+// also while the store is away.
 package exchange
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"math"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +18,9 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
-	"github.com/ragworthitch/ragworthitch/route"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
@@ -34,11 +34,6 @@
 	interval = 50 * time.Millisecond
 	// pace is the least time between two views on a connection.
 	pace = 4 * time.Millisecond
-	// maxPeers is how many instances are told. With all instances told of
-	// all, 100 took half of a core each for it and 300 all of it; up to 25
-	// instances everybody knows everything, beyond that each knows of those
-	// of its zone that it shares most targets with.
-	maxPeers = 24
 	// gapNews is the change of an engine's gap between events that is told,
 	// as a share: smaller ones change no choice.
 	gapNews = 0.2
@@ -56,20 +51,15 @@
 )
 
 type (
-	// Peer is another instance, as the table of instances names it.
-	Peer struct {
-		Node string
-		Zone string
-		Addr string // ip:port for views
-	}
-
 	// Exchange sends and takes views. Make one with New.
 	Exchange struct {
 		node    string
 		zone    string
 		targets *registry.Registry
 		recall  *recall.Recall
+		book    *poison.Book
 		log     zerolog.Logger
+		dial    func(ctx context.Context, addr string) (conn, error)
 
 		mu        sync.Mutex
 		ctx       context.Context
@@ -80,6 +70,12 @@
 		news      chan struct{}         // closed when there is something to tell at once
 	}
 
+	// conn is a connection to a peer.
+	conn interface {
+		SendView(ctx context.Context, v wire.View) error
+		CloseNow() error
+	}
+
 	// report is what a peer was told of a target.
 	report struct {
 		load registry.Load
@@ -94,10 +90,13 @@
 )
 
 // New returns an exchange for the named instance.
-func New(node, zone string, targets *registry.Registry, places *recall.Recall, log zerolog.Logger) *Exchange {
-	return &Exchange{node: node, zone: zone, targets: targets, recall: places, log: log, heard: map[string]*wire.Conn{}, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
+func New(node, zone string, targets *registry.Registry, places *recall.Recall, book *poison.Book, log zerolog.Logger) *Exchange {
+	return &Exchange{node: node, zone: zone, targets: targets, recall: places, book: book, log: log, dial: dialView,
+		heard: map[string]*wire.Conn{}, known: map[string]Peer{}, peers: map[string]*link{}, news: make(chan struct{})}
 }
 
+func dialView(ctx context.Context, addr string) (conn, error) { return wire.DialView(ctx, addr) }
+
 // Tell has the own view sent to all peers at once.
 func (e *Exchange) Tell() {
 	e.mu.Lock()
@@ -129,87 +128,6 @@
 	return nil
 }
 
-// Know takes a peer's address, or with gone that it is no more.
-func (e *Exchange) Know(p Peer, gone bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if p.Node == e.node {
-		return
-	}
-	if gone {
-		delete(e.known, p.Node)
-	} else {
-		e.known[p.Node] = p
-	}
-	e.choose()
-}
-
-// Known are the other instances, as the table of instances names them.
-func (e *Exchange) Known() []Peer {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Collect(maps.Values(e.known))
-}
-
-// Confirmed notes that the table of instances was complete up to a moment.
-func (e *Exchange) Confirmed(at clock.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.confirmed = max(e.confirmed, at)
-}
-
-// Entries is how many instances there are, this one among them, and up to when
-// that is known to be right; ok is false if the table of them was not read yet.
-// It is a budget.Entries.
-func (e *Exchange) Entries() (n int, at clock.Time, ok bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.known) + 1, e.confirmed, e.confirmed != 0
-}
-
-// choose keeps links to the peers that are to be told; e.mu is held.
-func (e *Exchange) choose() {
-	if e.ctx == nil {
-		return
-	}
-	told := e.nearest()
-	for node, l := range e.peers {
-		if p, ok := told[node]; !ok || p.Addr != l.addr {
-			l.stop()
-			delete(e.peers, node)
-		}
-	}
-	for node, p := range told {
-		if e.peers[node] == nil {
-			ctx, stop := context.WithCancel(e.ctx)
-			e.peers[node] = &link{addr: p.Addr, stop: stop}
-			go e.tell(ctx, p)
-		}
-	}
-}
-
-// nearest are the peers to be told: those of the own zone first, and of
-// these the ones that a hash of both names puts first, so that the choice
-// stays when others come or go.
-func (e *Exchange) nearest() map[string]Peer {
-	all := slices.Collect(maps.Values(e.known))
-	key := route.Key(e.node)
-	slices.SortFunc(all, func(a, b Peer) int {
-		if (a.Zone == e.zone) != (b.Zone == e.zone) {
-			if a.Zone == e.zone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(route.Affinity(key, b.Node), route.Affinity(key, a.Node))
-	})
-	out := map[string]Peer{}
-	for _, p := range all[:min(len(all), maxPeers)] {
-		out[p.Node] = p
-	}
-	return out
-}
-
 // tell keeps a peer told until ctx ends or the peer is lost.
 func (e *Exchange) tell(ctx context.Context, p Peer) {
 	up := clock.Now()
@@ -228,21 +146,11 @@
 	}
 }
 
-// giveUp forgets a peer, unless it is known at another address by now.
-func (e *Exchange) giveUp(p Peer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.known[p.Node] == p {
-		delete(e.known, p.Node)
-		e.choose()
-	}
-}
-
 // session connects and sends views until the connection fails; told says
 // that there was a connection.
 func (e *Exchange) session(ctx context.Context, p Peer) (told bool, err error) {
 	dctx, cancel := context.WithTimeout(ctx, dialTime)
-	c, err := wire.DialView(dctx, p.Addr)
+	c, err := e.dial(dctx, p.Addr)
 	cancel()
 	if err != nil {
 		return false, err
@@ -251,12 +159,13 @@
 	e.log.Info().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: peer reached")
 	sent := map[ragworthitch.Boot]report{}
 	var last clock.Time
-	var noted uint64
+	var noted, deaths uint64
 	for ctx.Err() == nil {
 		news := e.told()
 		v := e.changes(sent)
 		v.Places, noted = e.places(noted)
-		if now := clock.Now(); len(v.Loads) > 0 || len(v.Places) > 0 || now.Sub(last) >= keepAlive {
+		v.Deaths, deaths = e.book.Since(deaths)
+		if now := clock.Now(); len(v.Loads) > 0 || len(v.Places) > 0 || len(v.Deaths) > 0 || now.Sub(last) >= keepAlive {
 			last = now
 			sctx, cancel := context.WithTimeout(ctx, sendTime)
 			err := c.SendView(sctx, v)
@@ -369,6 +278,7 @@
 	for _, p := range v.Places {
 		e.recall.Heard(recall.Place{Subject: p.Subject, Engine: p.Engine}, now)
 	}
+	e.hearDeaths(v.Deaths, now)
 	for _, l := range v.Loads {
 		if m := e.targets.Boot(l.Target); m != nil {
 			m.Work().SetOther(v.Node, registry.Load{Prefill: l.Prefill, Later: l.Later, Running: l.Running, Tokens: l.Tokens})
@@ -377,6 +287,18 @@
 	}
 }
 
+// hearDeaths takes what a peer knows of requests that crash targets, and tells on
+// what is news.
+func (e *Exchange) hearDeaths(deaths []poison.Death, now clock.Time) {
+	news := false
+	for _, d := range deaths {
+		news = e.book.Died(d, poison.SourcePeer, now) || news
+	}
+	if news {
+		e.Tell()
+	}
+}
+
 // waitNews lasts d, or until news is closed.
 func waitNews(ctx context.Context, d time.Duration, news <-chan struct{}) {
 	t := time.NewTimer(d)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/exchange"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/wire"
@@ -24,6 +25,7 @@
 type node struct {
 	targets registry.Registry
 	places  recall.Recall
+	book    poison.Book
 	ex      *exchange.Exchange
 	addr    string
 	stop    context.CancelFunc
@@ -33,7 +35,7 @@
 func start(t *testing.T, name string) *node {
 	n := &node{}
 	n.targets.Put(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "i-1", Service: "llm", Address: "127.0.0.1:1"}), 0)
-	n.ex = exchange.New(name, "ate", &n.targets, &n.places, zerolog.Nop())
+	n.ex = exchange.New(name, "ate", &n.targets, &n.places, &n.book, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	go n.ex.Run(ctx)
--- a/ingress/copy.go
+++ b/ingress/copy.go
@@ -61,7 +61,7 @@
 		return
 	}
 	now, own := clock.Now(), m.Target().Zone()
-	bar := append(slices.Clone(s.tried), m)
+	bar := append(s.tried.list(), m)
 	c := s.pickEngine(now, append(s.lostZones(now), own), bar...)
 	if c == nil {
 		c = s.pickEngine(now, []string{own}, bar...)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -55,6 +55,8 @@
 		await   time.Duration
 		tell    func()
 		borrow  func(ctx context.Context, service string)
+		crashes *poison.Book
+		claim   func(ctx context.Context, t poison.Trial) bool
 		ready   func() bool
 		links   health.Links
 		paces   pace.Services
@@ -86,8 +88,13 @@
 		// Borrow has repeats of a service borrowed of other instances for the
 		// budget, and returns when that has been tried; nil: nobody lends.
 		Borrow func(ctx context.Context, service string)
-		Log    zerolog.Logger
-		Scope  tally.Scope
+		// Crashes is what is known of requests that crash targets; nil: what is seen
+		// here. Claim takes a trial of one that is condemned, and reports whether no
+		// other instance did; nil: there is none.
+		Crashes *poison.Book
+		Claim   func(ctx context.Context, t poison.Trial) bool
+		Log     zerolog.Logger
+		Scope   tally.Scope
 	}
 )
 
@@ -99,13 +106,19 @@
 	if cfg.Borrow == nil {
 		cfg.Borrow = func(context.Context, string) {}
 	}
+	if cfg.Crashes == nil {
+		cfg.Crashes = &poison.Book{Log: cfg.Log, Scope: cfg.Scope}
+	}
+	if cfg.Claim == nil {
+		cfg.Claim = func(_ context.Context, t poison.Trial) bool { return cfg.Crashes.Claim(t, 0, clock.Now()) }
+	}
 	if cfg.Engines == nil {
 		cfg.Engines = route.Engines{}
 	}
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
-	return &Handler{tell: cfg.Tell, borrow: cfg.Borrow, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
+	return &Handler{tell: cfg.Tell, borrow: cfg.Borrow, crashes: cfg.Crashes, claim: cfg.Claim, ready: cfg.Ready, zone: cfg.Zone, book: cfg.Book, targets: cfg.Targets, recall: cfg.Recall, budget: cfg.Budget,
 		send: cfg.Sender, engines: cfg.Engines, speeds: cfg.Speeds, await: cfg.Await, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
@@ -143,8 +156,11 @@
 	limit -= now.Sub(c.Received)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	j := &job{h: h, w: w, c: c, g: g, print: poison.Of(g.Org, c.Method, c.Host, c.Path, c.Body), deadline: now.Add(limit)}
+	if !j.admitted(ctx) {
+		return
+	}
 	h.budget.Called(g.Service.Name(), now)
-	j := &job{h: h, w: w, c: c, g: g, print: poison.Of(c.Method, c.Host, c.URI, g.Org, c.Body), deadline: now.Add(limit)}
 	if g.Route.Kind() != ragworthitch.CallStream {
 		j.plain(ctx)
 		return
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -28,9 +28,13 @@
 	deadline clock.Time
 	sends    int  // orders that reached a target, or may have
 	mayRun   bool // one of them may have run
-	tried    []*registry.Member
+	tried    triedList
 	// reserved: the next repeat is already taken out of the budget.
 	reserved bool
+	accused  bool                        // a target has crashed under the request
+	trial    bool                        // it is condemned, and this is its one try
+	only     func(*registry.Member) bool // which targets may get it; nil: any
+	well     bool                        // it has been noted that it runs well
 }
 
 // left is how long an answer is still of use.
@@ -39,16 +43,13 @@
 // service is the name of the call's service.
 func (j *job) service() string { return j.g.Service.Name() }
 
-// hasTried reports whether the call was sent to m before.
-func (j *job) hasTried(m *registry.Member) bool { return slices.Contains(j.tried, m) }
-
 // again reports whether the call may be sent once more: targets are left and
 // the repeat budget has room.
 func (j *job) again(ctx context.Context) bool {
 	if j.sends == 0 {
 		return true
 	}
-	if j.sends >= j.g.Route.MaxTargets() {
+	if j.sends >= j.g.Route.MaxTargets() || j.trial {
 		return false
 	}
 	if !j.borrow(ctx) {
@@ -91,11 +92,11 @@
 	cands := make([]route.PlainCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
-		cands[i] = route.PlainCandidate{Takes: m.Takes(now) && !j.hasTried(m), LatencyMs: m.Health().Latency(),
+		cands[i] = route.PlainCandidate{Takes: j.takes(m, now) && !j.tried.has(m), LatencyMs: m.Health().Latency(),
 			Errors: m.Health().Errors(now), Running: m.Work().All().Running, Slots: t.Slots(), Cold: m.Cold(now),
 			SameZone: t.Zone() == j.h.zone, Loss: j.h.links.Loss(t.Zone(), now), Jitter: rand.Float64()}
 	}
-	if i := route.Pick(cands, route.Plain{}, 0); i >= 0 {
+	if i := route.Pick(cands, j.sparingPlain(), 0); i >= 0 {
 		return ms[i]
 	}
 	return nil
@@ -116,14 +117,14 @@
 	for i, m := range ms {
 		t := m.Target()
 		load, gap := m.Work().All(), j.gap(m, p, now)
-		cands[i] = route.EngineCandidate{Takes: m.Takes(now), Backlog: float64(load.Prefill) / prompt, Running: load.Running, Memory: memory(load.Tokens, j.g.Service.Engine()),
+		cands[i] = route.EngineCandidate{Takes: j.takes(m, now), Backlog: float64(load.Prefill) / prompt, Running: load.Running, Memory: memory(load.Tokens, j.g.Service.Engine()),
 			Slow: slowness(gap, p), Answer: answer,
 			Late: j.late(load, gap, p, now), Errors: m.Health().Errors(now), SameZone: t.Zone() == j.h.zone, Trouble: trouble[t.Zone()],
 			Loss: j.h.links.Loss(t.Zone(), now), Cold: m.Cold(now),
 			Home: homes[i], Back: j.c.After != "",
 			Barred: slices.Contains(notZones, t.Zone()) || slices.Contains(bar, m), Jitter: rand.Float64()}
 	}
-	if i := route.Pick(cands, j.h.engines, 0); i >= 0 {
+	if i := route.Pick(cands, j.sparing(), 0); i >= 0 {
 		return ms[i]
 	}
 	return nil
@@ -223,6 +224,9 @@
 	out := m.Health().Failed(clock.Now())
 	m.Conns().DropIdle()
 	j.h.stats.targetsOut.Inc(1)
+	if t := m.Target(); !t.Draining() {
+		j.h.crashes.Lost(poison.Loss{Service: t.Service(), Zone: t.Zone(), Boot: t.Boot(), Targets: len(j.h.targets.Service(t.Service()))}, clock.Now())
+	}
 	j.h.log.Warn().Str("request", j.c.ID).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Str("cause", string(cause)).
 		AnErr("error", err).Dur("outFor", out).Msg("health: target left alone")
 	j.askPeers(m)
@@ -243,14 +247,14 @@
 
 // probe asks a target for a connection and notes if there is none.
 func (j *job) probe(m *registry.Member, cause health.Cause) {
-	if err := j.ask(m); err != nil {
+	if err := j.reach(m); err != nil {
 		j.failed(m, cause, err)
 	}
 }
 
-// ask asks a target for a connection, unless somebody does so already. An
+// reach asks a target for a connection, unless somebody does so already. An
 // error means that it took none.
-func (j *job) ask(m *registry.Member) error {
+func (j *job) reach(m *registry.Member) error {
 	if !m.Health().BeginProbe() {
 		return nil
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -65,7 +65,7 @@
 		dials++
 		pending++
 		j.sends++
-		j.tried = append(j.tried, m)
+		j.tried.add(m)
 		go func() { tries <- j.order(ctx, m) }()
 		return true
 	}
@@ -87,6 +87,10 @@
 			case !t.reply.refused():
 				last = &t
 			}
+			if v, ok := j.condemned(); ok {
+				j.condemn(v)
+				return
+			}
 			if j.mayRun && !safe {
 				break // it may run once only
 			}
@@ -127,6 +131,7 @@
 		return false
 	}
 	j.mayRun = true
+	j.ranWell()
 	if t.reply.failure() {
 		return false
 	}
@@ -173,6 +178,8 @@
 		j.failed(t.m, health.CauseRefused, t.err)
 	case t.err != nil:
 		t.m.Health().Answered(now, took, true)
+		go j.probe(t.m, health.CauseRefused)
+		go j.blame(t.m, begun, 0)
 		j.h.log.Warn().Str("request", j.c.ID).Stringer("fingerprint", j.print).Str("target", t.m.Target().ID()).Dur("after", took).Err(t.err).Msg("ingress: no whole answer")
 	case t.reply.Elsewhere:
 		j.elsewhere(t.m)
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
@@ -118,6 +119,11 @@
 func (r *run) watch(ctx context.Context) error {
 	s := r.s
 	lost, ended := r.m.Health().Lost(), r.m.Life().Done()
+	condemned, forget := s.h.crashes.Await(s.print)
+	defer forget()
+	if s.trial {
+		condemned = nil
+	}
 	set := clock.Now()
 	wait := r.calm(set)
 	timer := time.NewTimer(wait)
@@ -158,6 +164,11 @@
 			lost, r.gone = nil, true
 			wait, set = checkEvery, now
 			timer.Reset(wait)
+		case <-condemned:
+			if !r.answered {
+				return errCondemned
+			}
+			condemned = nil // it has begun: how that ends decides
 		case <-ended:
 			if r.m.Lost(r.sentAt) {
 				return errEnded
@@ -187,6 +198,10 @@
 		r.started()
 	}
 	r.events++
+	s.made++
+	if !poison.Young(s.made) {
+		s.ranWell()
+	}
 	s.copied = true
 	if e.ID != 0 {
 		if e.ID <= s.last {
@@ -259,6 +274,7 @@
 func (r *run) answeredOtherwise(head *Reply, body []byte) error {
 	s := r.s
 	s.mayRun = true
+	s.ranWell()
 	r.m.Health().Answered(clock.Now(), 0, head.failure())
 	if s.begun {
 		return upstream.ErrSent
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -77,7 +77,7 @@
 // movable reports whether the stream may go on at another target; one that
 // may not is waited for, whatever is believed of its target.
 func (r *run) movable() bool {
-	return r.s.g.Route.Idempotent() && r.s.sends < r.s.g.Route.MaxTargets()
+	return r.s.g.Route.Idempotent() && r.s.sends < r.s.g.Route.MaxTargets() && !r.s.trial
 }
 
 // check looks at a run that has been quiet for so long, and reports whether
@@ -173,7 +173,7 @@
 // ask asks the run's target for a connection, and tells the run if there is
 // none. The run decides: its target may have been heard meanwhile.
 func (r *run) ask(ctx context.Context, at clock.Time) {
-	err := r.s.ask(r.m)
+	err := r.s.reach(r.m)
 	if err == nil {
 		return
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
@@ -46,13 +47,14 @@
 	cutAt    clock.Time // when the run before ended; 0: there was none
 	losses   []loss
 	fails    int
+	made     int // events of all runs, those included that the caller came with
 }
 
 func newStream(j *job) *stream {
 	j.h.paces.Of(j.service()).Sent(j.c.Prompt)
 	s := &stream{job: j, dropCopy: func() {}}
 	if n, err := strconv.ParseInt(j.c.After, 10, 64); err == nil {
-		s.last = n
+		s.last, s.made = n, int(n)
 	}
 	return s
 }
@@ -76,6 +78,7 @@
 		}
 		r, err := s.attempt(ctx, m, from)
 		if err == nil {
+			s.ranWell()
 			s.answered(m, http.StatusOK)
 			return
 		}
@@ -87,6 +90,10 @@
 			return
 		}
 		s.lost(r, err)
+		if v, ok := s.condemned(); ok {
+			s.endCondemned(v, err)
+			return
+		}
 		if s.mayRun && !s.g.Route.Idempotent() || !s.again(ctx) || s.fails >= maxDials+s.g.Route.MaxTargets() {
 			s.end(ctx, http.StatusBadGateway, "no target left to go on", err)
 			return
@@ -100,7 +107,7 @@
 	if c := s.copyHolder(); c != nil && c.Takes(now) {
 		return c, c
 	}
-	if m := s.pickEngine(now, nil, s.tried...); m != nil {
+	if m := s.pickEngine(now, nil, s.tried.list()...); m != nil {
 		return m, nil
 	}
 	// All others failed: one that was tried before may be back.
@@ -125,7 +132,7 @@
 		s.cutAt = now
 	}
 	s.fails++
-	s.tried = append(s.tried, m)
+	s.tried.add(m)
 	if !r.answered || !errors.Is(err, upstream.ErrNotSent) { // it did not just decline the order
 		s.losses = append(s.losses, loss{zone: m.Target().Zone(), at: now})
 	}
@@ -146,6 +153,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// endCondemned gives a stream up whose request was condemned meanwhile.
+func (s *stream) endCondemned(v poison.Verdict, err error) {
+	if !s.begun {
+		s.condemn(v)
+		return
+	}
+	s.h.stats.streamsCut.Inc(1)
+	s.log(0, "stream cut: request condemned", err)
+	panic(http.ErrAbortHandler)
+}
+
 func (s *stream) outOfTime(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		s.abandoned()
@@ -155,8 +173,8 @@
 
 // attempt makes one run and passes its events on. It returns nil when the
 // stream, or an answer in its place, is complete at the caller.
-func (s *stream) attempt(ctx context.Context, m, from *registry.Member) (*run, error) {
-	ctx, cancel := context.WithCancel(ctx)
+func (s *stream) attempt(parent context.Context, m, from *registry.Member) (*run, error) {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel() // closes the run's connection: the target stops its work
 	now := clock.Now()
 	o := &Order{Call: s.c, Target: m.Target(), Member: m, Org: s.g.Org, Left: s.left(now), Rank: s.rank(m)}
@@ -183,6 +201,9 @@
 	go r.read(ctx, o)
 	err := r.watch(ctx)
 	cancel()
+	if r.answered && err != nil && parent.Err() == nil && !errors.Is(err, upstream.ErrNotSent) {
+		go s.blame(m, r.answeredAt, s.made)
+	}
 	return r, r.settle(err)
 }
 
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -9,6 +9,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/discovery"
 	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/relay"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -30,6 +31,10 @@
 	// who ask: half of what the budget of repeats allows (budget.staleAfter).
 	peerWait = 4 * time.Second
 	peerGap  = time.Second
+	// crashWait and crashGap pace the calls for what others have kept of crashes, which
+	// seldom changes: a change is told at once, and also from instance to instance.
+	crashWait = 10 * time.Second
+	crashGap  = 100 * time.Millisecond
 	// reread is how often the desired state is read whole, against changes
 	// lost without notice, and rereadTargets the list of targets, which is
 	// 200 bytes for each of them.
@@ -53,6 +58,7 @@
 		platform.TableOperator: cache(never, min(toldWait, i.desiredWait())),
 		platform.TableTargets:  cache(platform.SameTarget, toldWait),
 		platform.TablePeers:    cache(never, peerWait),
+		platform.TableCrashes:  cache(never, crashWait),
 	}
 }
 
@@ -87,9 +93,16 @@
 	p.Go((&discovery.Follower[discovery.Entry]{Name: platform.TableTargets, Log: i.log,
 		Source: platform.TargetTable{Reader: direct(platform.TableTargets), Unreadable: i.unreadable},
 		Relay:  asking[discovery.Entry]{platform.TargetTable{Reader: targets, Unreadable: i.unreadable}, targets},
-		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.read.Store(true) }),
+		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.targetsIn.Store(true) }),
 		Wait:   targetWait, Gap: targetGap, Reread: rereadTargets, Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
 
+	crashes := asker(platform.TableCrashes, false)
+	p.Go((&discovery.Follower[poison.Row]{Name: platform.TableCrashes, Log: i.log,
+		Source: platform.CrashTable{Reader: direct(platform.TableCrashes), Unreadable: i.unreadable},
+		Relay:  asking[poison.Row]{platform.CrashTable{Reader: crashes, Unreadable: i.unreadable}, crashes},
+		Sink:   discovery.CrashSink{Book: &i.crashes, Read: func() { i.crashesIn.Store(true) }}, Wait: crashWait, Gap: crashGap,
+		Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
+
 	if i.boot.Internal() == "" {
 		return // there is no way to other instances
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -27,6 +27,7 @@
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/lend"
 	"github.com/ragworthitch/ragworthitch/platform"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/relay"
@@ -83,7 +84,9 @@
 	relay      *relay.Server
 	budget     *budget.Budget
 	notes      notes
-	read       atomic.Bool // the targets' table has been read
+	crashes    poison.Book
+	targetsIn  atomic.Bool // the table of targets has been read
+	crashesIn  atomic.Bool // the table of crashes has
 }
 
 // New returns an instance with the platform's settings. metrics is served on
@@ -95,13 +98,14 @@
 	b := boot.Bounds()
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics, unreadable: platform.NewUnreadable(log, scope),
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
-	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, log)
+	i.crashes.Log, i.crashes.Scope = log, scope
+	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, &i.crashes, log)
 	i.notes.recall = &i.recall
 	i.relay = &relay.Server{Tables: i.caches(), Leaving: i.leaving, Keep: i.notes.keep, Log: log}
 	i.budget = budget.New(budget.Limit{Ratio: b.BudgetRatio, Extra: b.BudgetExtra, Span: b.BudgetSpan}, i.peers.Entries)
 	borrower := &lend.Borrower{Zone: boot.Zone(), Peers: i.peers.Known, Budget: i.budget, Log: log}
 	i.handler = ingress.New(ingress.Config{Zone: boot.Zone(), Book: i.book, Targets: &i.targets, Recall: &i.recall, Budget: i.budget, Borrow: borrower.Borrow,
-		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Log: log, Scope: scope})
+		Sender: platform.Sender{}, Ready: i.Ready, Tell: i.peers.Tell, Crashes: &i.crashes, Claim: i.claimTrial, Log: log, Scope: scope})
 	return i
 }
 
@@ -110,7 +114,7 @@
 // Ready reports whether the balancer should send callers here.
 func (i *Instance) Ready() bool {
 	age, ok := i.book.Age(clock.Now())
-	return ok && age <= share(readyShare, i.boot.Bounds().Revoke) && i.read.Load() && !i.handler.Leaving()
+	return ok && age <= share(readyShare, i.boot.Bounds().Revoke) && i.targetsIn.Load() && i.crashesIn.Load() && !i.handler.Leaving()
 }
 
 // Run serves until ctx ends, and then until the calls in progress have ended
@@ -130,6 +134,7 @@
 	p := pool.New().WithContext(life).WithCancelOnError()
 	i.follow(p)
 	p.Go(i.keepPlaces)
+	p.Go(i.keepCrashes)
 	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
 	i.serve(p, ready, platform.Ready(i.Ready))
 	i.serveInternal(p)
--- a/poison/fingerprint_test.go
+++ b/poison/fingerprint_test.go
@@ -4,20 +4,49 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // All that makes a request another one tells in its fingerprint.
 func TestFingerprint(t *testing.T) {
-	of := func(method, host, uri, org, body string) Fingerprint { return Of(method, host, uri, org, []byte(body)) }
-	first := of("POST", "h", "/p/a", "org", "body")
-	assert.Equal(t, first, of("POST", "h", "/p/a", "org", "body"))
+	of := func(org, method, host, path, body string) Fingerprint {
+		return Of(org, method, host, path, []byte(body))
+	}
+	first := of("org", "POST", "h", "/p/a", "body")
+	assert.Equal(t, first, of("org", "POST", "h", "/p/a", "body"))
 	others := []Fingerprint{
-		of("GET", "h", "/p/a", "org", "body"), of("POST", "g", "/p/a", "org", "body"), of("POST", "h", "/p/a?b", "org", "body"),
-		of("POST", "h", "/p/a", "other", "body"), of("POST", "h", "/p/a", "org", ""), of("POST", "h", "/p/ao", "rg", "body"),
+		of("org", "GET", "h", "/p/a", "body"), of("org", "POST", "g", "/p/a", "body"), of("org", "POST", "h", "/p/b", "body"),
+		of("other", "POST", "h", "/p/a", "body"), of("org", "POST", "h", "/p/a", ""), of("org", "POST", "h", "/p/", "abody"),
+		of("orgP", "OST", "h", "/p/a", "body"),
 	}
 	for i, f := range others {
 		assert.NotEqual(t, first, f, i)
 	}
 	assert.NotEqual(t, Fingerprint{}, of("", "", "", "", ""))
-	assert.Len(t, first.String(), 32)
+}
+
+func TestFingerprintText(t *testing.T) {
+	f := Of("org", "POST", "h", "/p/a", nil)
+	got, err := Parse(f.Text())
+	require.NoError(t, err)
+	assert.Equal(t, f, got)
+	assert.Contains(t, f.Text(), f.String())
+	for _, bad := range []string{"", "zz", f.String(), f.Text() + "00"} {
+		_, err := Parse(bad)
+		assert.ErrorIs(t, err, ErrBadFingerprint, bad)
+	}
+}
+
+// BenchmarkOf is what a call's fingerprint costs before it is served, for a body of
+// the usual size and the longest that operators allow.
+func BenchmarkOf(b *testing.B) {
+	for name, n := range map[string]int{"8kB": 8 << 10, "4MB": 4 << 20} {
+		body := make([]byte, n)
+		b.Run(name, func(b *testing.B) {
+			b.SetBytes(int64(n))
+			for b.Loop() {
+				Of("org", "POST", "plans.example", "/plan/x", body)
+			}
+		})
+	}
 }
--- a/target.go
+++ b/target.go
@@ -23,6 +23,7 @@
 		Others   []string // further services that it belongs to
 		Address  string   // ip:port
 		Zone     string
+		Version  string // of its software; empty: not told
 		Slots    int
 		Draining bool
 		ColdFor  time.Duration // how much longer it stays slow after its start
@@ -64,6 +65,9 @@
 // Zone is the target's availability zone.
 func (t Target) Zone() string { return t.p.Zone }
 
+// Version is that of the target's software; empty if it is not told.
+func (t Target) Version() string { return t.p.Version }
+
 // Slots is how many requests the target works on at once.
 func (t Target) Slots() int { return t.p.Slots }
 
--- a/wire/view.go
+++ b/wire/view.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/poison"
 )
 
 // ViewPath is where an entry instance takes the views of others. Its number
@@ -27,6 +28,7 @@
 		Node   string
 		Loads  []TargetLoad
 		Places []Place
+		Deaths []poison.Death
 	}
 
 	// Place says at which engine the instance has had a prompt read.
@@ -52,6 +54,19 @@
 		N string       `cbor:"1,keyasint"`
 		L []loadFrame  `cbor:"2,keyasint,omitempty"`
 		P []placeFrame `cbor:"3,keyasint,omitempty"`
+		D []deathFrame `cbor:"4,keyasint,omitempty"`
+	}
+
+	deathFrame struct {
+		_ struct{} `cbor:",toarray"`
+		F []byte
+		T string
+		B int64
+		C string
+		O string
+		S string
+		V string
+		A bool
 	}
 
 	placeFrame struct {
@@ -79,10 +94,29 @@
 	for _, l := range v.Loads {
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.Later, R: l.Running, K: l.Tokens, G: l.Gap.Microseconds()})
 	}
-	f.P = encodePlaces(v.Places)
+	f.P, f.D = encodePlaces(v.Places), encodeDeaths(v.Deaths)
 	return cbor.Marshal(f)
 }
 
+func encodeDeaths(deaths []poison.Death) []deathFrame {
+	var out []deathFrame
+	for _, d := range deaths {
+		out = append(out, deathFrame{F: d.Print[:], T: d.Boot.ID(), B: d.Boot.Started(), C: d.Call, A: d.Together, O: d.Org, S: d.Service, V: d.Version})
+	}
+	return out
+}
+
+func decodeDeaths(frames []deathFrame) ([]poison.Death, error) {
+	var out []poison.Death
+	for _, f := range frames {
+		if len(f.F) != len(poison.Fingerprint{}) {
+			return nil, fmt.Errorf("%w: fingerprint of %d bytes", ErrBadFrame, len(f.F))
+		}
+		out = append(out, poison.Death{Print: poison.Fingerprint(f.F), Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, Together: f.A, Org: f.O, Service: f.S, Version: f.V})
+	}
+	return out, nil
+}
+
 func encodePlaces(places []Place) []placeFrame {
 	var out []placeFrame
 	for _, p := range places {
@@ -110,6 +144,10 @@
 		v.Loads = append(v.Loads, TargetLoad{Target: ragworthitch.NewBoot(l.T, l.B), Prefill: l.P, Later: l.L, Running: l.R, Tokens: l.K, Gap: time.Duration(l.G) * time.Microsecond})
 	}
 	v.Places = decodePlaces(f.P)
+	var err error
+	if v.Deaths, err = decodeDeaths(f.D); err != nil {
+		return View{}, err
+	}
 	return v, nil
 }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/poison"
 )
 
 func TestRoundTrip(t *testing.T) {
@@ -95,7 +97,8 @@
 	for _, v := range []View{
 		{Node: "a"},
 		{Node: "a", Loads: []TargetLoad{{Target: ragworthitch.NewBoot("i-1", 1767312000123), Prefill: 8200, Later: 300, Running: 3, Tokens: 27000, Gap: 29040 * time.Microsecond}, {Target: ragworthitch.NewBoot("i-2", 0)}},
-			Places: []Place{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}}},
+			Places: []Place{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
+			Deaths: []poison.Death{{Print: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Together: true, Org: "o", Service: "llm", Version: "v1"}}},
 	} {
 		b, err := EncodeView(v)
 		require.NoError(t, err)
@@ -103,6 +106,10 @@
 		require.NoError(t, err)
 		assert.Equal(t, v, got)
 	}
-	_, err := DecodeView([]byte{0xff, 0x00})
-	assert.True(t, errors.Is(err, ErrBadFrame))
+	short, err := cbor.Marshal(viewFrame{N: "a", D: []deathFrame{{F: []byte{1}, T: "i-1"}}})
+	require.NoError(t, err)
+	for _, b := range [][]byte{{0xff, 0x00}, short} {
+		_, err := DecodeView(b)
+		assert.True(t, errors.Is(err, ErrBadFrame))
+	}
 }
