experiment: a deadly call, alone and beside other faults; no detour for suspects

Cause: no load had a call that crashes engines, so that neither the damage before a verdict nor who pays for it could be compared. Change: emulated engines crash of a deadly call 100 ms after they begin it and are back 3 s later; loads in which it comes 20 times at any entry, also beside lost zones, a store that is away and entries that are all killed; the variant noVerdicts runs it again and again. Calls of one emulated caller have a body of their own, as real ones have. Tried and left out: sending a suspect where the fewest streams are (1.5 readings for each).

--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -20,6 +20,8 @@
 const (
 	// wayThere is the time of a message to an engine, zones taken together.
 	wayThere = 500 * time.Microsecond
+	// crashAfter is how long after it has begun a deadly call an engine crashes.
+	crashAfter = 100 * time.Millisecond
 	// sentAgain is how long after a packet that was lost the sender's kernel
 	// sends it again.
 	sentAgain = 200 * time.Millisecond
@@ -37,6 +39,9 @@
 		kind    Kind
 		tell    bool              // engines tell when they started
 		engines map[string]*Place // by address
+		// Crashed is called when an engine is to crash of a call that it has begun;
+		// nil: it does not.
+		Crashed func(p *Place)
 
 		mu   sync.Mutex
 		loss map[string]float64 // share of the packets lost between a zone and the others
@@ -142,23 +147,25 @@
 	case <-run.over:
 		return nil, fmt.Errorf("%w: %v", upstream.ErrSent, run.Err())
 	}
+	if _, deadly := readBody(o.Call.Body); deadly && c.Crashed != nil {
+		time.AfterFunc(crashAfter, func() { c.Crashed(p) })
+	}
 	events := func(emit func(ingress.Event) bool) error { return c.follow(ctx, p, run, emit) }
 	return &ingress.Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: ingress.EmptyBody(func() { p.Stop(run) }), Sized: true, Events: events}, nil
 }
 
-// request is what an order asks of an engine. The call's body says how many
-// events its answer has, which no entry knows beforehand.
+// request is what an order asks of an engine.
 func (c *Cluster) request(o *ingress.Order) Request {
 	after, err := strconv.Atoi(o.After)
 	if err != nil {
 		after = 0 // from the start
 	}
-	events, err := strconv.Atoi(string(o.Call.Body))
-	if err != nil {
+	events, deadly := readBody(o.Call.Body)
+	if events == 0 {
 		events = o.Call.Output / max(1, c.kind.Stride)
 	}
 	q := Request{Call: o.Call.ID, Subject: o.Call.Subject, Prompt: o.Call.Prompt, Events: events,
-		After: after, Urgency: int(o.Rank), From: o.CopyAt != ""}
+		After: after, Urgency: int(o.Rank), From: o.CopyAt != "", Deadly: deadly}
 	if b := c.engines[o.BackupAt]; b != nil {
 		q.Backup = b.Engine
 	}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -65,6 +65,7 @@
 		After   int    // events that the caller has
 		Urgency int    // lower is first
 		From    bool   // go on from the copy that is here
+		Deadly  bool   // it makes no event: its engine is to crash
 		Backup  *Engine
 	}
 
--- a/emulator/step.go
+++ b/emulator/step.go
@@ -102,6 +102,9 @@
 	default:
 		close(r.begun)
 	}
+	if r.Deadly {
+		return
+	}
 	now := time.Now()
 	r.made++
 	r.held++
--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/emulator"
 	"github.com/ragworthitch/ragworthitch/ingress"
 )
 
@@ -105,7 +106,7 @@
 	a := &answer{c: c}
 	call := &ingress.Call{ID: fmt.Sprintf("%s-%d", c.id, n), Method: http.MethodPost, Host: host, Path: path, Header: http.Header{},
 		Patience: patience, Prompt: c.prompt, Output: c.events * c.play.load.kind().Stride * 4 / 3,
-		Body: []byte(strconv.Itoa(c.events)), Subject: c.id, Received: clock.Now()}
+		Body: emulator.Body(c.events, c.id), Subject: c.id, Received: clock.Now()}
 	c.mu.Lock()
 	c.reset = cancel
 	if c.got > 0 {
--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/emulator"
 	"github.com/ragworthitch/ragworthitch/ingress"
+	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/recall"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
@@ -48,19 +49,26 @@
 	targets registry.Registry
 	recall  recall.Recall
 	told    uint64 // own places told to the others
+	crashes poison.Book
+	deaths  uint64 // known deaths told to the others
 	handler *ingress.Handler
+	life    context.Context // until it is killed
+	kill    context.CancelFunc
 }
 
 func newInstance(p *play, name, zone string) *instance {
 	in := &instance{name: name, play: p}
+	in.life, in.kill = context.WithCancel(context.Background())
 	book := desired.NewBook(desired.Ages{Deny: time.Hour, Key: time.Hour})
 	book.Apply(p.state)
 	book.Proved(clock.Now())
 	for _, place := range p.cluster.Places() {
 		in.targets.Put(p.cluster.Target(place), 0)
 	}
+	in.crashes.Dry = p.variant.NoVerdicts
 	cfg := ingress.Config{Zone: zone, Book: book, Targets: &in.targets, Recall: &in.recall, Budget: budget.New(repeats, p.sharers),
-		Sender: emulator.Sender{Cluster: p.cluster, Zone: zone}, Engines: p.variant.Engines, Speeds: p.variant.Speeds, Log: zerolog.Nop()}
+		Sender: sender{emulator.Sender{Cluster: p.cluster, Zone: zone}, p}, Engines: p.variant.Engines, Speeds: p.variant.Speeds,
+		Crashes: &in.crashes, Claim: in.claim, Log: zerolog.Nop()}
 	if !p.variant.Alone {
 		cfg.Tell = in.tell
 	}
@@ -88,11 +96,17 @@
 	p.mu.Lock()
 	places, n := in.recall.Since(in.told)
 	in.told = n
+	deaths, n := in.crashes.Since(in.deaths)
+	in.deaths = n
 	p.mu.Unlock()
-	for _, o := range p.entries {
+	p.store.take(&in.crashes)
+	for _, o := range p.all() {
 		if o == in {
 			continue
 		}
+		for _, d := range deaths {
+			o.crashes.Died(d, poison.SourcePeer, clock.Now())
+		}
 		for _, m := range in.targets.All() {
 			if om := o.targets.Boot(m.Target().Boot()); om != nil {
 				om.Work().SetOther(in.name, m.Work().Own())
@@ -105,10 +119,10 @@
 	}
 }
 
-// keepTelling shares the entry's work until ctx ends.
-func (in *instance) keepTelling(ctx context.Context) {
-	for !in.play.variant.Alone && clock.Sleep(ctx, viewEvery) {
-		in.share()
+// keepTelling shares the work of the nth entry until ctx ends.
+func (p *play) keepTelling(ctx context.Context, n int) {
+	for !p.variant.Alone && clock.Sleep(ctx, viewEvery) {
+		p.all()[n].share()
 	}
 }
 
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -24,6 +24,10 @@
 	FaultBurst = "burst" // more callers come
 	FaultLossy = "lossy" // a zone's links to the others lose a share of the packets
 	FaultSlow  = "slow"  // engines take so many times as long; of all zones, if none is named
+
+	FaultDeadly = "deadly" // a call comes so many times, at any entry, that crashes the engine which runs it
+	FaultKilled = "killed" // all entries end at once and start again
+	FaultAway   = "away"   // the store keeps nothing
 )
 
 // ErrBadLoad is wrapped by errors about a load.
@@ -69,6 +73,7 @@
 		Share  float64 `yaml:"share"`  // of the zone's engines, of the connections or packets; 0: all
 		Factor float64 `yaml:"factor"` // of callers, or of an engine's times
 		SameID bool    `yaml:"sameID"` // engines start again under the id that they had
+		Tries  int     `yaml:"tries"`  // of a deadly call, spread over the fault's time
 	}
 )
 
@@ -103,7 +108,7 @@
 	}
 	for _, f := range l.Faults {
 		switch f.Kind {
-		case FaultDown, FaultDark, FaultStuck, FaultReset, FaultBurst, FaultLossy, FaultSlow:
+		case FaultDown, FaultDark, FaultStuck, FaultReset, FaultBurst, FaultLossy, FaultSlow, FaultDeadly, FaultKilled, FaultAway:
 		default:
 			return fmt.Errorf("%w: %q: unknown fault %q", ErrBadLoad, l.Name, f.Kind)
 		}
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -24,12 +24,14 @@
 	variant Variant
 	state   *ragworthitch.DesiredState
 	cluster *emulator.Cluster
-	entries []*instance
 	callers []*caller
 	begun   time.Time
+	deadly  deadly
+	store   store
 
-	mu  sync.Mutex
-	rng *rand.Rand // choices that depend on what happens
+	mu      sync.Mutex
+	entries []*instance
+	rng     *rand.Rand // choices that depend on what happens
 }
 
 // Play plays a load with a variant. It takes as long as the load says, and
@@ -47,6 +49,7 @@
 	if slices.ContainsFunc(l.Faults, func(f Fault) bool { return f.SameID }) {
 		p.cluster.TellStarts()
 	}
+	p.cluster.Crashed = p.crash
 	for i := range l.Entries {
 		p.entries = append(p.entries, newInstance(p, fmt.Sprint("entry-", i), l.Zones[i%len(l.Zones)]))
 	}
@@ -56,8 +59,8 @@
 	for _, place := range p.cluster.Places() {
 		group.Go(func() { place.Run(life) })
 	}
-	for _, in := range p.entries {
-		group.Go(func() { in.keepTelling(life) })
+	for i := range l.Entries {
+		group.Go(func() { p.keepTelling(life, i) })
 	}
 	for _, f := range l.Faults {
 		group.Go(func() { p.fault(life, f) })
@@ -160,6 +163,14 @@
 		p.failZone(ctx, f, emulator.Stuck)
 	case FaultSlow:
 		p.slow(ctx, f)
+	case FaultDeadly:
+		p.sendDeadly(ctx, f)
+	case FaultKilled:
+		p.killEntries()
+	case FaultAway:
+		p.store.away(true)
+		clock.Sleep(ctx, time.Duration(f.ForMs)*time.Millisecond)
+		p.store.away(false)
 	}
 }
 
@@ -208,8 +219,20 @@
 		return
 	}
 	for _, place := range struck {
-		for _, in := range p.entries {
-			in.targets.Put(p.cluster.Target(place), 0)
-		}
+		p.announce(place)
+	}
+}
+
+// announce has all entries know of a place's present boot.
+func (p *play) announce(place *emulator.Place) {
+	for _, in := range p.all() {
+		in.targets.Put(p.cluster.Target(place), 0)
 	}
 }
+
+// all are the entries.
+func (p *play) all() []*instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.entries)
+}
--- a/experiment/play_test.go
+++ b/experiment/play_test.go
@@ -32,8 +32,15 @@
 	// Back is the most seconds after the last fault until all are served as
 	// usual again; 0: not bounded.
 	Back int
+	// Crashed is how many engines a deadly call may crash in a draw, in the mean: three,
+	// and those that it had begun to run at meanwhile.
+	Crashed int
 }
 
+// lateSends is how many orders of a call that has crashed three engines may reach
+// engines later than 3 s after that.
+const lateSends = 3
+
 func TestMain(m *testing.M) {
 	clock.FollowRuntime() // plays take no time: the runtime's clock runs ahead
 	os.Exit(m.Run())
@@ -56,6 +63,8 @@
 			if want.Back > 0 {
 				assert.LessOrEqual(t, product.Back(loads[i]), want.Back)
 			}
+			assert.LessOrEqual(t, product.LateSends, lateSends)
+			assert.LessOrEqual(t, product.Crashed, draws*want.Crashed)
 			for name, part := range want.Misses {
 				assert.LessOrEqual(t, 1-product.Share(), part*(1-played(t, loads[i], name).Share()), name)
 			}
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -20,6 +20,10 @@
 	ReadAgain int         // prompt tokens read though a call's prompt had been read
 	Copied    int         // tokens copied between engines
 	Preempted int
+	// Crashed is how many engines a deadly call has crashed, and LateSends how many
+	// orders of it reached engines later than spread after it had crashed the third.
+	Crashed   int
+	LateSends int
 	// Second is the share of the streams begun in each second that were on
 	// time; -1 where none began.
 	Second []float64
@@ -95,6 +99,7 @@
 		r.Preempted += s.Preempted
 	}
 	r.ReadAgain = max(0, read-p.asked())
+	r.Crashed, r.LateSends = p.deadly.result()
 	return r
 }
 
@@ -105,6 +110,7 @@
 	for _, r := range rs {
 		sum.Streams, sum.OnTime, sum.Late, sum.Failed = sum.Streams+r.Streams, sum.OnTime+r.OnTime, sum.Late+r.Late, sum.Failed+r.Failed
 		sum.ReadAgain, sum.Copied, sum.Preempted = sum.ReadAgain+r.ReadAgain, sum.Copied+r.Copied, sum.Preempted+r.Preempted
+		sum.Crashed, sum.LateSends = sum.Crashed+r.Crashed, max(sum.LateSends, r.LateSends)
 		sum.Worst += r.Worst / float64(len(rs))
 		sum.first, sum.pause = append(sum.first, r.first...), append(sum.pause, r.pause...)
 		for i := range r.begun {
--- a/experiment/variant.go
+++ b/experiment/variant.go
@@ -18,7 +18,9 @@
 		Engines ingress.EnginePolicy // nil: the product's
 		Alone   bool                 // entries tell each other nothing
 		NoCopy  bool                 // no copies of streams' memory are kept
-		Speeds  *pace.Pace           // nil: they are learnt
+		// NoVerdicts: calls that crash engines are run again and again.
+		NoVerdicts bool
+		Speeds     *pace.Pace // nil: they are learnt
 	}
 
 	// blind is the product's policy without a part of what it knows.
@@ -66,6 +68,7 @@
 		{Name: "product"},
 		{Name: "alone", Alone: true},
 		{Name: "noCopies", NoCopy: true},
+		{Name: "noVerdicts", NoVerdicts: true},
 		{Name: "noTrouble", Engines: blind{trouble: true}},
 		{Name: "noHomes", Engines: blind{homes: true}},
 		{Name: "noZones", Engines: blind{zones: true}},
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -14,7 +14,6 @@
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/registry"
-	"github.com/ragworthitch/ragworthitch/route"
 )
 
 const (
@@ -22,10 +21,6 @@
 	// lost, for that to be a crash: a connection that it refuses tells within ms, one
 	// that nothing answers after upstream.DialTimeout.
 	confirmTime = 400 * time.Millisecond
-	// spareEngine and sparePlain are what one more call in progress at a target costs
-	// a request that may crash it, in readings and ms: those beside it would pay.
-	spareEngine = 1.5
-	sparePlain  = 50
 	// condemnedText is the body of the answer to a request that is not run.
 	condemnedText = "This request has crashed the targets that ran it, and is not run again for now (%s).\n"
 )
@@ -37,7 +32,6 @@
 // crashed under it. If not, it is answered.
 func (j *job) admitted(ctx context.Context) bool {
 	v := j.h.crashes.Judge(j.print, clock.Now())
-	j.accused = v.Deaths > 0
 	if !v.Condemned {
 		return true
 	}
@@ -201,20 +195,3 @@
 	}
 	return err == nil
 }
-
-// sparing is the policy for a call that may crash its target: it goes where the
-// fewest are beside it.
-func (j *job) sparing() EnginePolicy {
-	if !j.accused && !j.trial {
-		return j.h.engines
-	}
-	return route.Sparing[route.EngineCandidate]{Policy: j.h.engines, Cost: spareEngine}
-}
-
-// sparingPlain is the same for plain services.
-func (j *job) sparingPlain() route.Policy[route.PlainCandidate] {
-	if !j.accused && !j.trial {
-		return route.Plain{}
-	}
-	return route.Sparing[route.PlainCandidate]{Policy: route.Plain{}, Cost: sparePlain}
-}
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -31,7 +31,6 @@
 	tried    triedList
 	// reserved: the next repeat is already taken out of the budget.
 	reserved bool
-	accused  bool                        // a target has crashed under the request
 	trial    bool                        // it is condemned, and this is its one try
 	only     func(*registry.Member) bool // which targets may get it; nil: any
 	well     bool                        // it has been noted that it runs well
@@ -96,7 +95,7 @@
 			Errors: m.Health().Errors(now), Running: m.Work().All().Running, Slots: t.Slots(), Cold: m.Cold(now),
 			SameZone: t.Zone() == j.h.zone, Loss: j.h.links.Loss(t.Zone(), now), Jitter: rand.Float64()}
 	}
-	if i := route.Pick(cands, j.sparingPlain(), 0); i >= 0 {
+	if i := route.Pick(cands, route.Plain{}, 0); i >= 0 {
 		return ms[i]
 	}
 	return nil
@@ -124,7 +123,7 @@
 			Home: homes[i], Back: j.c.After != "",
 			Barred: slices.Contains(notZones, t.Zone()) || slices.Contains(bar, m), Jitter: rand.Float64()}
 	}
-	if i := route.Pick(cands, j.sparing(), 0); i >= 0 {
+	if i := route.Pick(cands, j.h.engines, 0); i >= 0 {
 		return ms[i]
 	}
 	return nil
--- a/poison/book.go
+++ b/poison/book.go
@@ -69,6 +69,8 @@
 	Book struct {
 		Log   zerolog.Logger
 		Scope tally.Scope // nil: nothing is counted
+		// Dry has crashes noted and told, and no request condemned, for comparison.
+		Dry bool
 
 		size     atomic.Int32 // of suspects: most calls need not look further
 		mu       sync.Mutex
@@ -364,7 +366,7 @@
 				own++
 			}
 		}
-		guilty := own >= enough && b.wells.lately(s.print, now) <= ranWellShare*len(s.deaths)
+		guilty := !b.Dry && own >= enough && b.wells.lately(s.print, now) <= ranWellShare*len(s.deaths)
 		if guilty {
 			for _, d := range s.deaths {
 				culprit[d.Boot] = max(culprit[d.Boot], len(s.deaths))
