soak: a request that crashes targets comes in every play

Cause: the soak had no such request, so that neither a verdict that is forgotten nor one on a bystander could be seen by its oracle. Change: every plan has a request that crashes the engines, or the plain services, that run it, for up to 16 s, and every other one kills all instances at once meanwhile. Promises DEADLY (a request that has crashed three targets is sent to three more at the most by instances in touch, or started later with a store that served) and BYSTANDER (no other call is rejected as one). Besides: cases of TestCheck that share records scaled their times twice; each has its own now.

--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -25,10 +25,16 @@
     "another target's address": ("UNASKED", "platform/order.go", "	set(headExpect, o.Target.ID())\n", ""),
     "the key is passed on": ("UNASKED", "platform/names.go", "var ours = []string{headKey, ", "var ours = []string{"),
     "no end in time": ("FINAL", "ingress/handler.go", "	ctx, cancel := context.WithTimeout(ctx, limit)", "	ctx, cancel := context.WithTimeout(ctx, limit+time.Minute)"),
+    "the verdict is forgotten at a restart": ("DEADLY", "instance/crashes.go", "	err := platform.CrashKeeper{Store: i.store}.Make(mctx, edits[:n])", "	err := mctx.Err()"),
+    "a bystander is condemned": ("BYSTANDER", "poison/book.go", "		guilty := !b.Dry && own >= enough && b.wellOf(s.suspect, now) <= ranWellShare*len(s.deaths)", "		guilty := own > 0"),
     "a panic ends the process": ("ALIVE", "health/health.go", "	if s.gone != nil {\n		close(s.gone)\n		s.gone = nil\n	}\n", "	panic(s)\n"),
 }
 
 
+# What is found with a plan, in place of seeds.
+PLANS = {"the verdict is forgotten at a restart": "testdata/soak/all-killed-after-verdict.yaml"}
+
+
 def build(name, folder):
     changes = BUGS[name][1:]
     copy = os.path.join(folder, re.sub(r"\W", "_", name))
@@ -47,12 +53,15 @@
     program = build(name, folder)
     rule = BUGS[name][0]
     seen = set()
-    for seed in range(1, seeds + 1):
-        out = subprocess.run([program, "soak", "-seed", str(seed), "-for", "45s", "-dir", os.path.join(folder, "plays")], capture_output=True, text=True)
+    plays = [(f"seed {seed}", ["-seed", str(seed), "-for", "45s"]) for seed in range(1, seeds + 1)]
+    if name in PLANS:
+        plays = [(PLANS[name], ["-plan", os.path.join(HERE, PLANS[name])])]
+    for what, args in plays:
+        out = subprocess.run([program, "soak", *args, "-dir", os.path.join(folder, "plays")], capture_output=True, text=True)
         seen |= set(re.findall(r"^ +[\d.]+ s ([A-Z]+) ", out.stdout, re.M))
         if rule in seen:
-            return f"{name}: {rule} broken, found with seed {seed}", True
-    return f"{name}: {rule} NOT found with {seeds} seeds; found {sorted(seen)}", False
+            return f"{name}: {rule} broken, found with {what}", True
+    return f"{name}: {rule} NOT found with {[what for what, _ in plays]}; found {sorted(seen)}", False
 
 
 def main():
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -133,7 +133,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), call.Limit+patienceMore)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { call.Connected = true }})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.play.frontOf(c.entry)+call.Path, strings.NewReader("{}"))
+	body := "{}"
+	if call.Deadly {
+		body = deadlyBody
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.play.frontOf(c.entry)+call.Path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // every part of it is made up above
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,9 @@
 	RuleAlive    = "ALIVE"    // no process ends by itself, or stays
 	RuleUsage    = "USAGE"    // memory and descriptors stay within limits
 	RuleBack     = "BACK"     // after the last fault all works again
+
+	RuleDeadly    = "DEADLY"    // a request that has crashed three targets is not run again
+	RuleBystander = "BYSTANDER" // one that has crashed none is not taken for one that did
 )
 
 const (
@@ -86,12 +89,14 @@
 		c.lost(&h.Calls[i])
 		c.state(&h.Calls[i])
 		c.key(&h.Calls[i])
+		c.bystander(&h.Calls[i])
 	}
 	for id, runs := range c.runs {
 		c.ran(id, runs)
 	}
 	c.reverted()
 	c.drained()
+	c.deadly()
 	c.processes()
 	c.back()
 	slices.SortFunc(c.bad, func(a, b Violation) int { return cmp.Or(cmp.Compare(a.At, b.At), strings.Compare(a.Text, b.Text)) })
@@ -269,7 +274,7 @@
 // lost judges calls that an instance had passed on when it was told to end, or
 // to read its settings again, while nothing else was wrong.
 func (c *checker) lost(call *Call) {
-	if call.Whole || len(c.runs[call.ID]) == 0 {
+	if call.Whole || len(c.runs[call.ID]) == 0 || call.Deadly {
 		return
 	}
 	planned := func(t Trouble) bool {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -45,7 +45,7 @@
 }
 
 func (tt *checkCase) history() History {
-	h := History{Calls: tt.Calls, Runs: tt.Runs, Changes: tt.Changes, Deaths: tt.Deaths, Usage: tt.Usage}
+	h := History{Calls: slices.Clone(tt.Calls), Runs: slices.Clone(tt.Runs), Changes: slices.Clone(tt.Changes), Deaths: tt.Deaths, Usage: tt.Usage}
 	for n := 1; n < tt.Repeat; n++ {
 		for _, c := range tt.Calls {
 			c.ID = fmt.Sprint(c.ID, n)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -39,6 +39,9 @@
 	switch f.Kind {
 	case KindChange:
 		return p.operator.change(ctx)
+	case KindDeadly:
+		p.callDeadly(ctx, f)
+		return nil
 	case KindStoreDown, KindStoreSlow, KindStoreLoses:
 		return p.disturbStore(ctx, f)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,6 +35,10 @@
 	KindStoreSlow  = "storeSlow"  // its answers take DelayMs
 	KindStoreLoses = "storeLoses" // writes take effect and their answers are lost
 
+	// KindDeadly: a request comes again and again that crashes the targets which run
+	// it, all engines (From) or all plain services.
+	KindDeadly = "deadly"
+
 	KindChange = "change" // the operator adds a route and a key and removes the oldest
 )
 
@@ -147,6 +151,7 @@
 	for at := calmStart; at < d-changeEnd; at += w.around(changeEvery) {
 		p.Faults = append(p.Faults, Fault{Kind: KindChange, AtMs: int(at.Milliseconds())})
 	}
+	p.Faults = append(p.Faults, w.deadly(end)...)
 	p.sort()
 	return p, nil
 }
@@ -327,7 +332,7 @@
 		return Plan{}, fmt.Errorf("%w: %s: size %q, %d seconds", ErrBadPlan, file, p.Size, p.Seconds)
 	}
 	for _, f := range p.Faults {
-		if f.Kind != KindChange && !slices.ContainsFunc(choices, func(c choice) bool { return c.kind == f.Kind }) {
+		if f.Kind != KindChange && f.Kind != KindDeadly && !slices.ContainsFunc(choices, func(c choice) bool { return c.kind == f.Kind }) {
 			return Plan{}, fmt.Errorf("%w: %s: unknown kind %q", ErrBadPlan, file, f.Kind)
 		}
 	}
--- a/soak/play.go
+++ b/soak/play.go
@@ -74,6 +74,7 @@
 	var group conc.WaitGroup
 	group.Go(func() { p.rotation.run(life) })
 	group.Go(func() { p.watch(life) })
+	group.Go(func() { p.revive(life) })
 	for n := range p.size.Callers {
 		group.Go(func() { newCaller(p, n).run(life) })
 	}
@@ -162,7 +163,7 @@
 func (p *play) watch(ctx context.Context) {
 	for clock.Sleep(ctx, usageTime) {
 		for _, proc := range p.processes() {
-			if itself, err := proc.EndedItself(); itself {
+			if itself, err := proc.EndedItself(); itself && !crashed(proc) {
 				p.died(proc, fmt.Errorf("ended by itself: %v", err))
 			}
 		}
--- a/soak/records.go
+++ b/soak/records.go
@@ -15,6 +15,7 @@
 	RunBegun   = "begun"
 	RunEnded   = "ended"
 	RunLeaving = "leaving" // the store has taken the entry that says so
+	RunCrashed = "crashed" // the target ends of it
 )
 
 // Kinds of call.
@@ -43,6 +44,7 @@
 		Ended   int64         `json:"ended"`
 		Limit   time.Duration `json:"limit"` // within which an answer has to be final
 		GaveUp  bool          `json:"gaveUp"`
+		Deadly  bool          `json:"deadly"` // it crashes the target that runs it
 
 		Connected bool     `json:"connected"`
 		Status    int      `json:"status"` // 0: none came
@@ -116,8 +118,8 @@
 )
 
 // counts reports whether a call counts as one that has to be served: those on
-// routes and with keys that come and go do not.
-func (c *Call) counts() bool { return c.Kind != CallKey && c.Kind != CallRoute }
+// routes and with keys that come and go do not, nor those that crash targets.
+func (c *Call) counts() bool { return c.Kind != CallKey && c.Kind != CallRoute && !c.Deadly }
 
 func (c *Call) served() bool { return c.Status == http.StatusOK && c.Whole }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -73,7 +73,8 @@
 	t := &Target{cfg: cfg, records: f, http: http.Client{Timeout: platform.TargetHeartbeat},
 		born: time.Now().Add(time.Duration(cfg.StepMs) * time.Millisecond).UnixMilli()}
 	t.stand = platform.TargetStandIn{ID: cfg.ID, Events: streamEvents, Gap: eventGap, First: firstTime, Listen: cfg.Listen,
-		Peers: &platform.Peers{Keep: t.sendCopy}, Work: answers(cfg.ID), Note: t.noteRun, Besides: t.besides()}
+		Peers: &platform.Peers{Keep: t.sendCopy}, Work: answers(cfg.ID), Note: t.noteRun, Besides: t.besides(),
+		Crashes: platform.Crashes{By: func(body []byte) bool { return string(body) == deadlyBody }, Done: t.crash}}
 	if cfg.Service != serviceLLM {
 		t.stand.First = plainTime
 	}
@@ -112,6 +113,12 @@
 	return platform.OthersRow{Table: platform.TableTargets, Key: t.cfg.ID, Value: b}.Send(&t.http, t.cfg.Store)
 }
 
+// crash ends the process, as a deadly request does.
+func (t *Target) crash() {
+	t.note(Run{Kind: RunCrashed})
+	os.Exit(crashStatus)
+}
+
 func (t *Target) noteRun(n platform.RunNote) {
 	r := Run{Kind: RunBegun, Call: n.Call, Path: n.Path, Org: n.Org, KeyPassed: n.KeyPassed, After: n.After}
 	if n.Ended {
