poison: runs that ended well elsewhere speak for a request, too

Cause: a deadly request crashed both targets of their service, three times; such a call was aboard each time, and an instance that had just started knew of no run of it that had ended well. The instance that had seen the crashes knew of dozens, and did not say so. Change: what is told and kept of a death says how many runs of the request ended well of late where it was seen. Why it holds: a request that runs well at any instance that sees its crashes is not condemned at another one.

--- a/poison/book.go
+++ b/poison/book.go
@@ -241,6 +241,9 @@
 // Died takes a death that this instance saw or was told of, and reports whether it
 // is news.
 func (b *Book) Died(d Death, from Source, now clock.Time) bool {
+	if from == SourceOwn {
+		d.Well = b.wells.lately(d.Print, now)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.put(d, from, now) {
@@ -366,7 +369,7 @@
 				own++
 			}
 		}
-		guilty := !b.Dry && own >= enough && b.wells.lately(s.print, now) <= ranWellShare*len(s.deaths)
+		guilty := !b.Dry && own >= enough && b.wellOf(s.suspect, now) <= ranWellShare*len(s.deaths)
 		if guilty {
 			for _, d := range s.deaths {
 				culprit[d.Boot] = max(culprit[d.Boot], len(s.deaths))
@@ -377,6 +380,16 @@
 	}
 }
 
+// wellOf is how many runs of a request have ended well of late, here or at an instance
+// that saw a target crash under it.
+func (b *Book) wellOf(s *suspect, now clock.Time) int {
+	n := b.wells.lately(s.print, now)
+	for _, d := range s.deaths {
+		n = max(n, d.Well)
+	}
+	return n
+}
+
 // set condemns a suspect, or takes that back; b.mu is held.
 func (b *Book) set(s *suspect, guilty bool, now clock.Time) {
 	if guilty == s.condemned {
@@ -386,12 +399,12 @@
 	if !guilty {
 		b.count("poison_cleared")
 		b.Log.Info().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Int("deaths", len(s.deaths)).
-			Int("ranWellLately", b.wells.lately(s.print, now)).Msg("poison: request is not condemned any more")
+			Int("ranWellLately", b.wellOf(s, now)).Msg("poison: request is not condemned any more")
 		return
 	}
 	b.count("poison_condemned")
 	b.Log.Warn().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Strs("targets", s.targets()).
-		Int("ranWellLately", b.wells.lately(s.print, now)).Int("trials", s.trials).Dur("hold", s.hold()).Msg("poison: request condemned")
+		Int("ranWellLately", b.wellOf(s, now)).Int("trials", s.trials).Dur("hold", s.hold()).Msg("poison: request condemned")
 	for ch := range b.waiting[s.print] {
 		close(ch)
 	}
--- a/poison/book_test.go
+++ b/poison/book_test.go
@@ -27,6 +27,9 @@
 	if len(version) > 0 {
 		d.Version = version[0]
 	}
+	if len(version) > 1 {
+		d.Well, _ = strconv.Atoi(version[1])
+	}
 	return d
 }
 
--- a/poison/death.go
+++ b/poison/death.go
@@ -29,6 +29,9 @@
 		Org     string
 		Service string
 		Version string // of the target's software
+		// Well is how many runs of the request had ended well of late at the instance that
+		// saw it: others may not have had any.
+		Well int
 		// Together: others of its zone or service were lost with it. That speaks
 		// against the request only if they were running it, too.
 		Together bool
--- a/wire/view.go
+++ b/wire/view.go
@@ -66,6 +66,7 @@
 		O string
 		S string
 		V string
+		W int
 		A bool
 	}
 
@@ -101,7 +102,7 @@
 func encodeDeaths(deaths []poison.Death) []deathFrame {
 	var out []deathFrame
 	for _, d := range deaths {
-		out = append(out, deathFrame{F: d.Print[:], T: d.Boot.ID(), B: d.Boot.Started(), C: d.Call, A: d.Together, O: d.Org, S: d.Service, V: d.Version})
+		out = append(out, deathFrame{F: d.Print[:], T: d.Boot.ID(), B: d.Boot.Started(), C: d.Call, A: d.Together, W: d.Well, O: d.Org, S: d.Service, V: d.Version})
 	}
 	return out
 }
@@ -112,7 +113,7 @@
 		if len(f.F) != len(poison.Fingerprint{}) {
 			return nil, fmt.Errorf("%w: fingerprint of %d bytes", ErrBadFrame, len(f.F))
 		}
-		out = append(out, poison.Death{Print: poison.Fingerprint(f.F), Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, Together: f.A, Org: f.O, Service: f.S, Version: f.V})
+		out = append(out, poison.Death{Print: poison.Fingerprint(f.F), Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, Together: f.A, Well: f.W, Org: f.O, Service: f.S, Version: f.V})
 	}
 	return out, nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -98,7 +98,7 @@
 		{Node: "a"},
 		{Node: "a", Loads: []TargetLoad{{Target: ragworthitch.NewBoot("i-1", 1767312000123), Prefill: 8200, Later: 300, Running: 3, Tokens: 27000, Gap: 29040 * time.Microsecond}, {Target: ragworthitch.NewBoot("i-2", 0)}},
 			Places: []Place{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
-			Deaths: []poison.Death{{Print: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Together: true, Org: "o", Service: "llm", Version: "v1"}}},
+			Deaths: []poison.Death{{Print: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Together: true, Well: 3, Org: "o", Service: "llm", Version: "v1"}}},
 	} {
 		b, err := EncodeView(v)
 		require.NoError(t, err)
