ingress, discovery, admit: what ends an instance is not met again by the next one

Three were found by reading, each without a report of a caller: a call over which a goroutine of this process panics ended the instance with all its calls, and its next try another one; so did a row of the store that a decoder or what takes it over panics over, again at each start; and large bodies, which were read without a bound for all together (60 of the largest are 240 MB, where a machine has 184). Change: a panic is kept to its call or row, logged and counted; the bodies of calls in progress take a quarter of the memory limit at the most, and a call beyond that gets 503 and when to come.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -30,6 +31,8 @@
 	// which answers when there is news: changes that come together are taken
 	// together, and none is much later for it.
 	relayGap = 50 * time.Millisecond
+	// panicPause is the wait after a panic while a table was taken over.
+	panicPause = time.Second
 	// lagRoom is how many times as long as the last answer one may take.
 	lagRoom = 2
 )
@@ -41,6 +44,8 @@
 
 	// errRelay is why a call to a Relay failed: the next one goes elsewhere.
 	errRelay = errors.New("discovery: relay failed")
+	// errPanicked is why a call ended that panicked in this process.
+	errPanicked = errors.New("discovery: panic")
 )
 
 type (
@@ -118,10 +123,15 @@
 func (f *Follower[T]) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		begun := clock.Now()
-		err := f.step(ctx, begun)
+		err := f.guarded(ctx, begun)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.Is(err, errPanicked) {
+			f.Log.Error().Str("table", f.Name).Int64("version", f.version).Err(err).Msg("discovery: panic while a table was taken over; what is known stays")
+			clock.Sleep(ctx, panicPause)
+			continue
+		}
 		if errors.Is(err, errRelay) {
 			continue // the relay has noted why, and is not asked for a while
 		}
@@ -135,6 +145,17 @@
 	return nil
 }
 
+// guarded is step, and an error if that panics: a row that this process cannot take
+// would end it each time that it starts and reads it.
+func (f *Follower[T]) guarded(ctx context.Context, begun clock.Time) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = fmt.Errorf("%w: %v", errPanicked, v)
+		}
+	}()
+	return f.step(ctx, begun)
+}
+
 // step makes one call.
 func (f *Follower[T]) step(ctx context.Context, begun clock.Time) error {
 	f.relayed = f.Relay != nil && f.Relay.Use()
--- a/discovery/follow_test.go
+++ b/discovery/follow_test.go
@@ -127,3 +127,24 @@
 	require.NoError(t, <-done)
 	assert.Equal(t, []int{10, 20}, s.rows)
 }
+
+// panicking is a sink that panics over a row.
+type panicking struct{ *script }
+
+func (p panicking) Change(rows []int, at clock.Time) {
+	if len(rows) > 0 && rows[0] == 13 {
+		panic("row 13")
+	}
+	p.script.Change(rows, at)
+}
+
+// A row that this process panics over does not end it: what is known stays, and the
+// table is followed on.
+func TestPanicIsNoEnd(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := &script{answers: []func(context.Context) ([]int, int64, error){ok(1, 10), ok(2, 13), ok(3, 20)}, done: cancel}
+	f := &Follower[int]{Name: "t", Source: s, Sink: panicking{s}, Log: zerolog.Nop(), Wait: 10 * time.Millisecond}
+	require.NoError(t, f.Run(ctx))
+	assert.Equal(t, []int{10, 20}, s.rows)
+}
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// inquire asks a target that has lost a call of a plain service for a connection, and
+// finds out whether the call may have crashed it.
+func (j *job) inquire(m *registry.Member, begun clock.Time) {
+	go j.probe(m, health.CauseRefused)
+	j.h.guarded(j.c.ID, func() { j.blame(m, begun, 0) })
+}
+
 // blame finds out whether m crashed under a run of the call, which had begun at a
 // moment and ended early, and whether that speaks against the request.
 func (j *job) blame(m *registry.Member, begun clock.Time, made int) {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -179,13 +179,16 @@
 // whether the answer is complete. Serve ends an answer that must not look
 // complete as net/http's handlers do, by a panic with http.ErrAbortHandler.
 func (h *Handler) ServeWhole(ctx context.Context, w http.ResponseWriter, c *Call) (whole bool) {
-	defer func() {
-		if r := recover(); r != nil && r != http.ErrAbortHandler {
-			panic(r)
-		}
-	}()
-	h.Serve(ctx, w, c)
-	return true
+	h.guarded(c.ID, func() {
+		defer func() {
+			if r := recover(); r != nil && r != http.ErrAbortHandler {
+				panic(r)
+			}
+		}()
+		h.Serve(ctx, w, c)
+		whole = true
+	})
+	return whole
 }
 
 // deny answers a call that the state in force does not allow, or that cannot
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -66,7 +66,7 @@
 		pending++
 		j.sends++
 		j.tried.add(m)
-		go func() { tries <- j.order(ctx, m) }()
+		go func() { tries <- j.guardedOrder(ctx, m) }()
 		return true
 	}
 	launch()
@@ -141,6 +141,15 @@
 	return true
 }
 
+// guardedOrder is order, and an error if that panics.
+func (j *job) guardedOrder(ctx context.Context, m *registry.Member) try {
+	t := try{m: m}
+	if err := j.h.guarded(j.c.ID, func() { t = j.order(ctx, m) }); err != nil {
+		t.err = err
+	}
+	return t
+}
+
 // order sends the call to m and reads the whole answer. It ends with the
 // target's boot.
 func (j *job) order(parent context.Context, m *registry.Member) try {
@@ -178,8 +187,7 @@
 		j.failed(t.m, health.CauseRefused, t.err)
 	case t.err != nil:
 		t.m.Health().Answered(now, took, true)
-		go j.probe(t.m, health.CauseRefused)
-		go j.blame(t.m, begun, 0)
+		go j.inquire(t.m, begun)
 		j.h.log.Warn().Str("request", j.c.ID).Stringer("fingerprint", j.print).Str("target", t.m.Target().ID()).Dur("after", took).Err(t.err).Msg("ingress: no whole answer")
 	case t.reply.Elsewhere:
 		j.elsewhere(t.m)
--- a/ingress/run.go
+++ b/ingress/run.go
@@ -74,6 +74,17 @@
 			return false
 		}
 	}
+	if err := r.s.h.guarded(r.s.c.ID, func() { r.receive(ctx, o, tell) }); err != nil {
+		select {
+		case r.sent <- err:
+		default: // how the sending ended is known
+		}
+		tell(news{err: err, end: true})
+	}
+}
+
+// receive sends the order and hands what comes back to tell.
+func (r *run) receive(ctx context.Context, o *Order, tell func(news) bool) {
 	reply, err := r.s.h.send.Send(ctx, o)
 	r.sent <- err
 	if err != nil {
--- a/ingress/stats.go
+++ b/ingress/stats.go
@@ -18,7 +18,7 @@
 type stats struct {
 	answered, failed, refused, denied, abandoned tally.Counter
 	hedged, overBudget, targetsOut, waysLossy    tally.Counter
-	condemned                                    tally.Counter
+	condemned, panics                            tally.Counter
 	resumed, resumedByCopy, streamsCut           tally.Counter
 	plainTime, firstEvent, resumeTime            recorder
 }
@@ -38,8 +38,8 @@
 		answered: s.Counter("answered"), failed: s.Counter("failed"), refused: s.Counter("refused"),
 		denied: s.Counter("denied"), abandoned: s.Counter("abandoned"), hedged: s.Counter("hedged"),
 		overBudget: s.Counter("over_budget"), targetsOut: s.Counter("targets_out"), waysLossy: s.Counter("ways_lossy"),
-		condemned: s.Counter("condemned"),
-		resumed:   s.Counter("resumed"), resumedByCopy: s.Counter("resumed_by_copy"), streamsCut: s.Counter("streams_cut"),
+		condemned: s.Counter("condemned"), panics: s.Counter("panics"),
+		resumed: s.Counter("resumed"), resumedByCopy: s.Counter("resumed_by_copy"), streamsCut: s.Counter("streams_cut"),
 		plainTime: hist("plain_time"), firstEvent: hist("first_event_time"), resumeTime: hist("resume_time"),
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -202,7 +202,8 @@
 	err := r.watch(ctx)
 	cancel()
 	if r.answered && err != nil && parent.Err() == nil && !errors.Is(err, upstream.ErrNotSent) {
-		go s.blame(m, r.answeredAt, s.made)
+		made := s.made
+		go s.h.guarded(s.c.ID, func() { s.blame(m, r.answeredAt, made) })
 	}
 	return r, r.settle(err)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
@@ -49,6 +50,9 @@
 	// grow to before it works harder.
 	heapShare = 0.7
 
+	// bodyShare of the memory limit is for the bodies of calls in progress.
+	bodyShare = 0.25
+
 	// announceTime bounds a try to write this instance's entry, and the
 	// pause after one that failed.
 	announceTime = time.Second
@@ -85,6 +89,7 @@
 	budget     *budget.Budget
 	notes      notes
 	crashes    poison.Book
+	bodies     *admit.Memory
 	targetsIn  atomic.Bool // the table of targets has been read
 	crashesIn  atomic.Bool // the table of crashes has
 }
@@ -98,6 +103,7 @@
 	b := boot.Bounds()
 	i := &Instance{boot: boot, log: log, store: platform.NewStore(boot.Store()), metrics: metrics, unreadable: platform.NewUnreadable(log, scope),
 		book: desired.NewBook(desired.Ages{Deny: share(denyShare, b.Config), Key: share(keyShare, b.Revoke)})}
+	i.bodies = admit.NewMemory(int64(bodyShare * float64(boot.Memory())))
 	i.crashes.Log, i.crashes.Scope = log, scope
 	i.peers = exchange.New(boot.Node(), boot.Zone(), &i.targets, &i.recall, &i.crashes, log)
 	i.notes.recall = &i.recall
@@ -135,7 +141,7 @@
 	i.follow(p)
 	p.Go(i.keepPlaces)
 	p.Go(i.keepCrashes)
-	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Log: i.log})
+	i.front = i.serve(p, front, &platform.Front{Handler: i.handler, Limits: i.limits, Memory: i.bodies, Log: i.log})
 	i.serve(p, ready, platform.Ready(i.Ready))
 	i.serveInternal(p)
 	p.Go(func(life context.Context) error {
