--- a/logs/story.go
+++ b/logs/story.go
@@ -20,17 +20,23 @@
 // request's story holds those of the processes and targets it touched.
 var beliefs = []string{"health:", "discovery:", "desired:", "instance:"}
 
+// crashes is the prefix of lines on requests that crash targets; a request's story
+// holds those on all its tries, whenever and wherever they were written.
+const crashes = "poison:"
+
 // record is one log line with all its fields.
 type record struct {
 	line
 	request, target string
+	fingerprint     string // of the request, the same for all its tries
 	rest            string // the other fields, NAME=VALUE, sorted
 }
 
 // Story writes what the log files tell of one request, ordered by time: its
 // own lines with all their fields, and what the processes that served it came
 // to believe meanwhile of the targets it was sent to, of the desired state and
-// of the store. It returns the number of the request's own lines. Text before
+// of the store, and what any of them knew of targets that crashed under its tries.
+// It returns the number of the request's own lines. Text before
 // a line's JSON is skipped.
 func Story(w io.Writer, request string, paths []string) (int, error) {
 	all, err := readRecords(paths)
@@ -38,12 +44,13 @@
 		return 0, err
 	}
 	var own []record
-	targets, processes := map[string]bool{"": true}, map[string]bool{}
+	targets, processes, prints := map[string]bool{"": true}, map[string]bool{}, map[string]bool{}
 	for _, r := range all {
 		if r.request == request {
 			own = append(own, r)
 			targets[r.target] = true
 			processes[r.process] = true
+			prints[r.fingerprint] = r.fingerprint != ""
 		}
 	}
 	if len(own) == 0 {
@@ -53,18 +60,44 @@
 	bw := bufio.NewWriter(w)
 	for _, r := range all {
 		mine := r.request == request
-		if !mine && (r.time < first || r.time > last || !processes[r.process] || !targets[r.target] || !isBelief(r.message)) {
+		belief := r.time >= first && r.time <= last && processes[r.process] && targets[r.target] && isBelief(r.message)
+		crash := prints[r.fingerprint] && strings.HasPrefix(r.message, crashes)
+		if !mine && !belief && !crash {
 			continue
 		}
 		mark := " "
 		if mine {
 			mark = "*"
 		}
-		fmt.Fprintf(bw, "%s %s %s %s | %s\n", r.time, mark, r.process, r.message, r.rest)
+		r.write(bw, mark)
 	}
 	return len(own), bw.Flush()
 }
 
+// write writes the record with all its fields.
+func (r record) write(w io.Writer, mark string) {
+	fmt.Fprintf(w, "%s %s %s %s | %s\n", r.time, mark, r.process, r.message, r.rest)
+}
+
+// OfTarget writes the lines of all processes on one target, ordered by time: the calls
+// that it was sent, how they ended, and what was believed of it. It returns their
+// number.
+func OfTarget(w io.Writer, target string, paths []string) (int, error) {
+	all, err := readRecords(paths)
+	if err != nil {
+		return 0, err
+	}
+	bw, n := bufio.NewWriter(w), 0
+	for _, r := range all {
+		if r.target != target {
+			continue
+		}
+		n++
+		r.write(bw, "request="+r.request)
+	}
+	return n, bw.Flush()
+}
+
 // before is the timestamp d earlier than at, or at if it cannot be read.
 func before(at string, d time.Duration) string {
 	t, err := time.Parse(TimeFormat, at)
@@ -119,8 +152,9 @@
 		return s
 	}
 	target, _ := m["target"].(string)
+	print, _ := m["fingerprint"].(string)
 	r := record{line: line{time: take("time"), process: take("process"), zone: take("zone"), level: take("level"), message: take("message")},
-		request: take("request"), target: target}
+		request: take("request"), target: target, fingerprint: print}
 	if r.time == "" {
 		return record{}, false
 	}
