relay: knowledge that has grown old is asked of the store, not of the next instance

Callers could see (KNOWN-RED, TestTwoReadersSilent): where the first two instances of a zone stand still at once, the others knew of a leaving target, or a new state, 2.03 s late, 2 s are allowed. Cause, by the trace of one: the last answer of the first instance was 0.8 s old already when it came (nothing had changed), its next was waited for 0.8 s, the second's 0.4 s, and then the third had to read the table first. Change: one that did not answer is followed by the store itself if what is known is over 1.2 s old, and that call waits for no changes. Why it holds: after the first that does not answer, 1.6 s at most have passed.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -115,6 +115,7 @@
 		fails   int
 		lag     time.Duration // what the last answer took beyond the wait asked for
 		relayed bool          // the last call went to the relay
+		behind  bool          // the relay has failed since the last answer: knowledge has grown old
 		away    clock.Time    // when the store was last away, as the relay says
 	}
 )
@@ -132,7 +133,8 @@
 			clock.Sleep(ctx, panicPause)
 			continue
 		}
-		if errors.Is(err, errRelay) {
+		f.behind = errors.Is(err, errRelay)
+		if f.behind {
 			continue // the relay has noted why, and is not asked for a while
 		}
 		f.note(err, begun)
@@ -222,12 +224,17 @@
 
 // patience is how long the next call may take beyond the wait for changes that
 // it asks for. What it proves is as old as the call: a slow store is asked for a
-// shorter wait, and one that has just failed to answer for none.
+// shorter wait, and one that has just failed to answer, or is asked since the relay
+// has, for none.
 func (f *Follower[T]) patience() (limit, wait time.Duration) {
 	if f.fails > 0 {
 		return slowAnswerTime, 0
 	}
-	return max(answerTime, lagRoom*f.lag), max(0, f.Wait-f.lag)
+	limit = max(answerTime, lagRoom*f.lag)
+	if f.behind {
+		return limit, 0
+	}
+	return limit, max(0, f.Wait-f.lag)
 }
 
 // regained takes note of an answer of the store to a call that began at a
--- a/relay/asker.go
+++ b/relay/asker.go
@@ -21,6 +21,10 @@
 	// for a desired state, 0.8 s, and one more candidate that does not answer,
 	// knowledge is 2.4 s old when the store is asked.
 	answerTime = 400 * time.Millisecond
+	// askAgain is how old knowledge may be for another instance to be asked after one
+	// that did not answer, which takes 0.8 s with the reading of the table: older, and
+	// the store is asked itself.
+	askAgain = 1200 * time.Millisecond
 	// spread is over how long the instances of a zone turn elsewhere, for each
 	// of them, when the one that they asked does not answer: 500 calls a second
 	// for a zone at the most.
@@ -66,7 +70,8 @@
 		peer   exchange.Peer // at the other end of conn
 		direct bool          // the table was last read from the store
 		failed bool          // the last question was not answered
-		large  bool          // the next call goes to the store, for what is too much to be told
+		store  bool          // the next call goes to the store, whoever could be asked
+		proved clock.Time    // up to when the last answer was complete
 	}
 )
 
@@ -76,8 +81,8 @@
 	now := clock.Now()
 	asked, _ := a.Cache.Asked(now)
 	_, ok := a.Choice.Next(now)
-	use := ok && !asked && !a.large
-	a.large = false
+	use := ok && !asked && !a.store
+	a.store = false
 	if use {
 		a.Cache.Drop()
 	} else if !a.direct {
@@ -133,11 +138,12 @@
 	switch {
 	case err == nil:
 		a.Choice.Served(p.Node)
+		a.proved = page.Proved
 		return page, nil
 	case errors.Is(err, discovery.ErrMissed):
 		return page, err
 	case errors.Is(err, errLarge):
-		a.large = true
+		a.store = true // it is too much to be told
 		return page, err
 	case errors.Is(context.Cause(ctx), errReads):
 		a.Drop()
@@ -148,6 +154,8 @@
 	} else {
 		a.Drop()
 		a.Choice.Failed(p.Node, clock.Now())
+		// The next one may not answer either, or have to read the table first.
+		a.store = clock.Now().Sub(a.proved) > askAgain
 	}
 	a.Log.Warn().Str("table", a.Table).Str("peer", p.Node).Int64("version", q.After).Dur("after", clock.Now().Sub(now)).Err(err).
 		Msg("relay: instance not asked for a while")
