platform: crashes are told in the table in which instances tell that they are there

Change: rows of crashes stand in the table of instances, under keys of their own; one follower takes both over.

--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -35,8 +35,20 @@
 		Gone bool
 	}
 
-	// PeerSink takes peers over into an Exchange.
-	PeerSink struct{ Exchange *exchange.Exchange }
+	// InstanceRow is what an entry instance tells the others: that it is there, or that
+	// a target has crashed under a request.
+	InstanceRow struct {
+		Peer  *PeerEntry  // one of both
+		Crash *poison.Row // the other
+	}
+
+	// InstanceSink takes what instances tell each other over into an Exchange and a
+	// poison.Book. Read is called after each whole reading of the table.
+	InstanceSink struct {
+		Exchange *exchange.Exchange
+		Crashes  *poison.Book
+		Read     func()
+	}
 
 	// BookSink takes desired states over into a Book.
 	BookSink struct {
@@ -44,13 +56,6 @@
 		Log  zerolog.Logger
 	}
 
-	// CrashSink takes crashes over into a poison.Book. Read is called after each whole
-	// reading of the table.
-	CrashSink struct {
-		Book *poison.Book
-		Read func()
-	}
-
 	// TargetSink takes entries over into a Registry. Make one with
 	// NewTargetSink.
 	TargetSink struct {
@@ -81,31 +86,34 @@
 func (s BookSink) Away(clock.Time) {}
 
 // Replace takes all peers over; one that is missing is given up by the
-// exchange itself when it does not answer.
-func (s PeerSink) Replace(rows []PeerEntry, at clock.Time) { s.Change(rows, at) }
-
-// Change takes changed peers over.
-func (s PeerSink) Change(rows []PeerEntry, at clock.Time) {
-	for _, e := range rows {
-		s.Exchange.Know(e.Peer, e.Gone)
-	}
-	s.Exchange.Confirmed(at)
-}
-
-// Away does nothing: peers are known to each other without the store.
-func (s PeerSink) Away(clock.Time) {}
-
-// Replace makes the book hold what the store has.
-func (s CrashSink) Replace(rows []poison.Row, _ clock.Time) {
-	s.Book.Replace(rows, clock.Now())
+// Replace takes the whole table over.
+func (s InstanceSink) Replace(rows []InstanceRow, at clock.Time) {
+	s.Crashes.Replace(s.takePeers(rows, at), clock.Now())
 	s.Read()
 }
 
 // Change takes changed rows over.
-func (s CrashSink) Change(rows []poison.Row, _ clock.Time) { s.Book.Change(rows, clock.Now()) }
+func (s InstanceSink) Change(rows []InstanceRow, at clock.Time) {
+	s.Crashes.Change(s.takePeers(rows, at), clock.Now())
+}
+
+// takePeers takes the peers over, and returns the crashes.
+func (s InstanceSink) takePeers(rows []InstanceRow, at clock.Time) []poison.Row {
+	var crashes []poison.Row
+	for _, r := range rows {
+		if r.Peer != nil {
+			s.Exchange.Know(r.Peer.Peer, r.Peer.Gone)
+		}
+		if r.Crash != nil {
+			crashes = append(crashes, *r.Crash)
+		}
+	}
+	s.Exchange.Confirmed(at)
+	return crashes
+}
 
-// Away does nothing: instances tell each other of crashes.
-func (s CrashSink) Away(clock.Time) {}
+// Away does nothing: instances know of each other, and of crashes, without the store.
+func (InstanceSink) Away(clock.Time) {}
 
 // NewTargetSink returns a sink into targets; read is called after each whole
 // reading of the table.
--- a/instance/crashes.go
+++ b/instance/crashes.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// crashTime bounds a try to change the table of crashes, and crashPause is between
+	// crashTime bounds a try to change the rows of crashes, and crashPause is between
 	// one that failed and the next. What is not kept is known by all instances that
 	// run, but not by those that start.
 	crashTime  = 400 * time.Millisecond
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -8,8 +8,8 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/discovery"
+	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/platform"
-	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/relay"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -25,16 +25,13 @@
 	// target writes every 1.2 s, so changes are taken in batches.
 	targetWait = 2 * time.Second
 	targetGap  = 400 * time.Millisecond
-	// peerWait and peerGap pace the calls for other instances' entries,
-	// which change when machines are added or replaced. Their number is known by
+	// peerWait and peerGap pace the calls for what other instances tell: their
+	// entries, which change when machines are added or replaced, and crashes, which
+	// they tell each other besides. Their number is known by
 	// an answer that is two waits old at most at who reads it, and three at those
 	// who ask: half of what the budget of repeats allows (budget.staleAfter).
 	peerWait = 4 * time.Second
 	peerGap  = time.Second
-	// crashWait and crashGap pace the calls for what others have kept of crashes, which
-	// seldom changes: a change is told at once, and also from instance to instance.
-	crashWait = 10 * time.Second
-	crashGap  = 100 * time.Millisecond
 	// reread is how often the desired state is read whole, against changes
 	// lost without notice, and rereadTargets the list of targets, which is
 	// 200 bytes for each of them.
@@ -55,10 +52,9 @@
 		return relay.NewCache(same, wait)
 	}
 	return map[string]*relay.Cache{
-		platform.TableOperator: cache(never, min(toldWait, i.desiredWait())),
-		platform.TableTargets:  cache(platform.SameTarget, toldWait),
-		platform.TablePeers:    cache(never, peerWait),
-		platform.TableCrashes:  cache(never, crashWait),
+		platform.TableOperator:  cache(never, min(toldWait, i.desiredWait())),
+		platform.TableTargets:   cache(platform.SameTarget, toldWait),
+		platform.TableInstances: cache(never, peerWait),
 	}
 }
 
@@ -70,10 +66,18 @@
 // leaving reports whether this instance stops soon.
 func (i *Instance) leaving() bool { return i.handler.Leaving() }
 
+// reachable are the other instances that this one can ask.
+func (i *Instance) reachable() []exchange.Peer {
+	if i.boot.Internal() == "" {
+		return nil // there is no way to others
+	}
+	return i.peers.Known()
+}
+
 // follow keeps the desired state, the targets and the other instances up to
 // date.
 func (i *Instance) follow(p *pool.ContextPool) {
-	choice := relay.NewChoice(i.boot.Node(), i.boot.Zone(), i.peers.Known)
+	choice := relay.NewChoice(i.boot.Node(), i.boot.Zone(), i.reachable)
 	direct := func(table string) relay.Direct {
 		return relay.Direct{Store: i.store, Cache: i.relay.Tables[table]}
 	}
@@ -96,21 +100,12 @@
 		Sink:   discovery.NewTargetSink(&i.targets, i.book, i.log, func() { i.targetsIn.Store(true) }),
 		Wait:   targetWait, Gap: targetGap, Reread: rereadTargets, Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
 
-	crashes := asker(platform.TableCrashes, false)
-	p.Go((&discovery.Follower[poison.Row]{Name: platform.TableCrashes, Log: i.log,
-		Source: platform.CrashTable{Reader: direct(platform.TableCrashes), Unreadable: i.unreadable},
-		Relay:  asking[poison.Row]{platform.CrashTable{Reader: crashes, Unreadable: i.unreadable}, crashes},
-		Sink:   discovery.CrashSink{Book: &i.crashes, Read: func() { i.crashesIn.Store(true) }}, Wait: crashWait, Gap: crashGap,
-		Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
-
-	if i.boot.Internal() == "" {
-		return // there is no way to other instances
-	}
-	peers := asker(platform.TablePeers, false)
-	p.Go((&discovery.Follower[discovery.PeerEntry]{Name: platform.TablePeers, Log: i.log,
-		Source: platform.PeerTable{Reader: direct(platform.TablePeers), Unreadable: i.unreadable},
-		Relay:  asking[discovery.PeerEntry]{platform.PeerTable{Reader: peers, Unreadable: i.unreadable}, peers},
-		Sink:   discovery.PeerSink{Exchange: i.peers}, Wait: peerWait, Gap: peerGap, Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
+	instances := asker(platform.TableInstances, false)
+	p.Go((&discovery.Follower[discovery.InstanceRow]{Name: platform.TableInstances, Log: i.log,
+		Source: platform.InstanceTable{Reader: direct(platform.TableInstances), Unreadable: i.unreadable},
+		Relay:  asking[discovery.InstanceRow]{platform.InstanceTable{Reader: instances, Unreadable: i.unreadable}, instances},
+		Sink:   discovery.InstanceSink{Exchange: i.peers, Crashes: &i.crashes, Read: func() { i.crashesIn.Store(true) }},
+		Wait:   peerWait, Gap: peerGap, Contact: &i.contact, Rests: true, Backoff: choice.Backoff}).Run)
 }
 
 // asking is a table that is read by asking other instances.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -91,7 +91,7 @@
 	crashes    poison.Book
 	bodies     *admit.Memory
 	targetsIn  atomic.Bool // the table of targets has been read
-	crashesIn  atomic.Bool // the table of crashes has
+	crashesIn  atomic.Bool // what instances tell each other of crashes has
 }
 
 // New returns an instance with the platform's settings. metrics is served on
