instance: waits for the store's changes follow the operator's bounds

Change: a wait is a fifth of the shorter of both bounds, 0.4 s at the least and 0.8 s at the most; knowledge that is over three waits old is asked of the store when an instance does not answer. Model with waits of 0.8 s: 1.6 s at most while all serve, 2.8 s where those who read fail, 4 s are allowed.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -38,11 +38,14 @@
 	reread        = 10 * time.Second
 	rereadTargets = 30 * time.Second
 
-	// toldWait is the longest wait for changes where one instance reads for
-	// others: a target that leaves, and a new desired state, have to be known within
-	// 2 s at the least, also where the one that reads stands still or is cut off. It
-	// costs two calls more in each zone and second.
-	toldWait = 400 * time.Millisecond
+	// toldShare is the longest wait for changes where one instance reads for others,
+	// as a part of the time within which a target that leaves, and a new desired state,
+	// have to be known, also where the one that reads stands still or is cut off.
+	// leastTold and mostTold bound it: shorter waits cost calls, and with longer ones
+	// keys could not be judged while the store is slow.
+	toldShare = 0.2
+	leastTold = 400 * time.Millisecond
+	mostTold  = 800 * time.Millisecond
 )
 
 // caches are the tables that this instance keeps for others, by name.
@@ -52,12 +55,18 @@
 		return relay.NewCache(same, wait)
 	}
 	return map[string]*relay.Cache{
-		platform.TableOperator:  cache(never, min(toldWait, i.desiredWait())),
-		platform.TableTargets:   cache(platform.SameTarget, toldWait),
+		platform.TableOperator:  cache(never, min(i.toldWait(), i.desiredWait())),
+		platform.TableTargets:   cache(platform.SameTarget, i.toldWait()),
 		platform.TableInstances: cache(never, peerWait),
 	}
 }
 
+// toldWait is how long a call for changes waits where one instance reads for others.
+func (i *Instance) toldWait() time.Duration {
+	b := i.boot.Bounds()
+	return min(max(leastTold, share(toldShare, min(b.Config, b.Drain))), mostTold)
+}
+
 // desiredWait is how long a call waits for a new desired state.
 func (i *Instance) desiredWait() time.Duration {
 	return min(desiredWait, share(desiredShare, i.boot.Bounds().Revoke))
--- a/relay/asker.go
+++ b/relay/asker.go
@@ -21,10 +21,10 @@
 	// for a desired state, 0.8 s, and one more candidate that does not answer,
 	// knowledge is 2.4 s old when the store is asked.
 	answerTime = 400 * time.Millisecond
-	// askAgain is how old knowledge may be for another instance to be asked after one
-	// that did not answer, which takes 0.8 s with the reading of the table: older, and
-	// the store is asked itself.
-	askAgain = 1200 * time.Millisecond
+	// askAgain is how old knowledge may be, in waits, for another instance to be asked
+	// after one that did not answer, which takes 0.8 s with the reading of the table:
+	// older, and the store is asked itself.
+	askAgain = 3
 	// spread is over how long the instances of a zone turn elsewhere, for each
 	// of them, when the one that they asked does not answer: 500 calls a second
 	// for a zone at the most.
@@ -155,7 +155,7 @@
 		a.Drop()
 		a.Choice.Failed(p.Node, clock.Now())
 		// The next one may not answer either, or have to read the table first.
-		a.store = clock.Now().Sub(a.proved) > askAgain
+		a.store = clock.Now().Sub(a.proved) > askAgain*a.Cache.wait
 	}
 	a.Log.Warn().Str("table", a.Table).Str("peer", p.Node).Int64("version", q.After).Dur("after", clock.Now().Sub(now)).Err(err).
 		Msg("relay: instance not asked for a while")
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -36,7 +37,7 @@
 	storeLag    = 4 * time.Millisecond
 	linkLag     = 200 * time.Microsecond
 	pollWait    = 800 * time.Millisecond
-	toldWait    = 400 * time.Millisecond
+	toldWait    = 400 * time.Millisecond // unless the scenario says another
 	pollGap     = 400 * time.Millisecond
 	rereadGap   = 10 * time.Second
 	// startTime is how long a start may take until it counts for the bounds,
@@ -58,6 +59,7 @@
 		Seconds   float64
 		Faults    []fault
 		Twice     bool // two instances of a zone fail at once without a sign
+		Told      int  // longest wait for changes where one reads for others, in ms; 0: toldWait
 		Bounds    struct {
 			Age   int
 			Calls float64
@@ -87,6 +89,7 @@
 		rng   *rand.Rand
 		begun time.Time
 		beats bool // rows are written when they do not change, too
+		told  time.Duration
 
 		mu        sync.Mutex
 		version   int64
@@ -162,7 +165,7 @@
 }
 
 func play(t *testing.T, s scenario, beats bool) {
-	m := &model{t: t, beats: beats, rng: rand.New(rand.NewPCG(uint64(s.Instances), 1)), begun: time.Now(), stored: map[string]platform.StoredRow{}, changed: make(chan struct{})}
+	m := &model{t: t, beats: beats, told: cmp.Or(time.Duration(s.Told)*time.Millisecond, toldWait), rng: rand.New(rand.NewPCG(uint64(s.Instances), 1)), begun: time.Now(), stored: map[string]platform.StoredRow{}, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(t.Context())
 	for k := range rows {
 		m.write(fmt.Sprint("k", k), 0, false)
@@ -275,7 +278,7 @@
 	i.choice = NewChoice(i.name, i.zone, func() []exchange.Peer {
 		return slices.DeleteFunc(i.m.peers(), func(p exchange.Peer) bool { return p.Node == i.name })
 	})
-	cache := NewCache(sameRow, toldWait)
+	cache := NewCache(sameRow, i.m.told)
 	i.server = &Server{Tables: map[string]*Cache{table: cache}, Leaving: func() bool { return false }, Log: zerolog.Nop()}
 	store := &storeReader{i: i, life: i.life}
 	life := i.life
