--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -30,6 +30,10 @@
 	settled = 2 * time.Second
 	// watched is for how long it is looked who does not know yet.
 	watched = 8 * time.Second
+	// tries is how often a second the request comes to any of the instances, and
+	// contactTime how long after the third death none may send it.
+	tries       = 200
+	contactTime = 3 * time.Second
 )
 
 var errGone = errors.New("gone")
@@ -83,17 +87,25 @@
 	for _, c := range cases.Load[spreadCase](t, "testdata/spread.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				took := playSpread(t, c)
-				t.Logf("known by all after %v", took)
-				assert.LessOrEqual(t, took.Milliseconds(), c.WithinMs)
+				r := playSpread(t, c)
+				t.Logf("known by all after %v; %d of %d tries sent after the third death", r.took, r.sends, r.tries)
+				assert.LessOrEqual(t, r.took.Milliseconds(), c.WithinMs)
+				assert.Zero(t, r.late)
 			})
 		})
 	}
 }
 
-// playSpread returns how long after the third death the last undisturbed instance
-// knows that the request is condemned.
-func playSpread(t *testing.T, c spreadCase) time.Duration {
+// spreadResult is what a play has shown.
+type spreadResult struct {
+	took  time.Duration // until the last undisturbed instance knew, after the third death
+	tries int           // of the request, at undisturbed instances
+	sends int           // that were sent, since the instance did not know
+	late  int           // later than contactTime
+}
+
+// playSpread plays a case, with the request coming to any instance all the while.
+func playSpread(t *testing.T, c spreadCase) (r spreadResult) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer synctest.Wait()
 	defer cancel()
@@ -116,15 +128,15 @@
 		case share < c.Killed:
 			n.kill()
 		case share < c.Killed+c.Frozen:
-			n.frozen = time.Now().Add(watched)
+			n.hold(&n.frozen)
 		case share < c.Killed+c.Frozen+c.Silent:
-			n.silent = time.Now().Add(watched)
+			n.hold(&n.silent)
 		default:
 			calm = append(calm, n)
 		}
 	}
 	print := poison.Of("o", "POST", "h", "/p", nil)
-	begun := time.Now()
+	begun, known := time.Now(), len(calm)
 	for i := range 3 {
 		all[i].book.Died(poison.Death{Print: print, Boot: ragworthitch.NewBoot(fmt.Sprint("i-", i), 0), Org: "o", Service: "llm"}, poison.SourceOwn, clock.Now())
 		all[i].ex.Tell()
@@ -138,17 +150,35 @@
 			f.mu.Unlock()
 		}
 	})
-	for time.Since(begun) < watched {
-		time.Sleep(time.Millisecond)
+	unaware := slices.Clone(calm)
+	for r.took = watched; time.Since(begun) < watched; time.Sleep(time.Millisecond) {
 		f.mu.Lock()
-		calm = slices.DeleteFunc(calm, func(n *spreadNode) bool { return n.book.Judge(print, clock.Now()).Condemned })
-		left := len(calm)
+		r.try(calm[rng.IntN(len(calm))], print, rng.Float64() < tries*time.Millisecond.Seconds(), time.Since(begun))
+		unaware = append(unaware, calm[known:]...)
+		known = len(calm)
+		unaware = slices.DeleteFunc(unaware, func(n *spreadNode) bool { return n.book.Judge(print, clock.Now()).Condemned })
+		left := len(unaware)
 		f.mu.Unlock()
-		if left == 0 && (c.Started == 0 || time.Since(begun) > time.Second) {
-			return time.Since(begun)
+		if left == 0 && r.took == watched && (c.Started == 0 || time.Since(begun) > time.Second) {
+			r.took = time.Since(begun)
 		}
 	}
-	return watched
+	return r
+}
+
+// try has the request come to an instance.
+func (r *spreadResult) try(n *spreadNode, print poison.Fingerprint, comes bool, after time.Duration) {
+	if !comes {
+		return
+	}
+	r.tries++
+	if n.book.Judge(print, clock.Now()).Condemned {
+		return
+	}
+	r.sends++
+	if after > contactTime {
+		r.late++
+	}
 }
 
 // add makes an instance and has it and all others know of each other.
@@ -191,6 +221,13 @@
 	return &spreadConn{from: from, to: to}, (&spreadConn{from: from, to: to}).pass(ctx)
 }
 
+// hold has the instance frozen or silent from now on.
+func (n *spreadNode) hold(until *time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	*until = time.Now().Add(watched)
+}
+
 func (n *spreadNode) gone() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
