registry: ignore a new registration without a start time where most targets state one

Cause: an entry of another writer that lacks the start time, under an id and address of its own, was added as a target and got calls. Change: such a registration is ignored if most known targets state their start; whole reads apply rows with a start time first. Ruled out: ignoring all of them as soon as one target states its start. One entry of another writer would then disable a deployment whose targets state none.

--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -1,6 +1,8 @@
 package discovery
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -194,10 +196,19 @@
 			s.remove(id)
 		}
 	}
+	sortByStart(rows)
 	s.ApplyChanges(rows, at)
 	s.onRead()
 }
 
+// sortByStart moves rows of targets without a start time to the end. Whether such a target
+// is added depends on the others.
+func sortByStart(rows []TargetRow) {
+	slices.SortStableFunc(rows, func(a, b TargetRow) int {
+		return -cmp.Compare(min(a.Target.Boot().Started(), 1), min(b.Target.Boot().Started(), 1))
+	})
+}
+
 // ApplyChanges applies changed entries.
 func (s *TargetSink) ApplyChanges(rows []TargetRow, at clock.Time) {
 	for _, row := range rows {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,7 +24,7 @@
 // Outcomes of Put.
 const (
 	// Ignored: the registration is of an ended boot, precedes the one in which the
-	// boot started to drain, or lacks the start time that earlier registrations had.
+	// boot started to drain, or lacks the start time that others have.
 	Ignored Outcome = "ignored"
 	// Known: the boot was known, and its registration has been updated.
 	Known Outcome = "known"
@@ -128,9 +128,9 @@
 //
 // A later start time or another address under a known id means a new boot, with
 // no load, health or connections of the earlier one. A registration without the
-// start time that the target had before comes from another writer. A target
-// whose address a new target registers has ended: the registration of a crashed
-// target expires seconds after its successor's has arrived.
+// start time that the target had before, or that most targets have, comes from another
+// writer. A target whose address a new target registers has ended: the registration of a
+// crashed target expires seconds after its successor's has arrived.
 func (r *Registry) Put(t ragworthitch.Target, maxConns int) Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,6 +141,9 @@
 		m.setUnreadable()
 		return Ignored
 	}
+	if m == nil && started == 0 && r.mostStateStart() {
+		return Ignored
+	}
 	if r.ended[t.ID()].includes(started) {
 		if !r.provesAlive(t) {
 			return Ignored
@@ -178,6 +181,18 @@
 	return known.Draining() && !t.Draining() && t.Sequence() <= known.Sequence()
 }
 
+// mostStateStart reports whether most of the known targets have stated their start time;
+// r.mu is held.
+func (r *Registry) mostStateStart() bool {
+	n := 0
+	for _, m := range r.byID {
+		if m.Target().Boot().Started() != 0 {
+			n++
+		}
+	}
+	return 2*n > len(r.byID)
+}
+
 func (r *Registry) makeMaps() {
 	if r.byID == nil {
 		r.byID, r.byAddr = map[string]*Member{}, map[string]*Member{}
