ingress: end the call of a caller that reads nothing, and bound what is held for it

Cause: stream.forward and writeAnswer wrote without a deadline, so that no timer, deadline or drain reached a call whose caller stood still: it kept its slot at the target and its place in Active for good. Plain answers were read whole, up to 8 MiB. Change: each part of an answer has a write deadline of callerStallTimeout, or what is left until the call's deadline. Events are read ahead up to 16 kB a stream; while the memory for answers (0.15 of the limit) is used up, one event, and new calls are rejected before they are sent. Plain answers above 16 kB are passed on as they are read; a truncated one is cut off. A stalled stream is ended, not parked: the caller can resume it, while a parked one would keep one of few slots of its engine. The callers', readiness and internal servers have a write timeout. Not done: descriptors are not counted, the emulator, load and soak do not read slowly.

--- a/admit/memory.go
+++ b/admit/memory.go
@@ -9,8 +9,9 @@
 // ErrNoMemory means that reading a body would exceed the memory limit for bodies.
 var ErrNoMemory = errors.New("admit: no memory left for the body")
 
-// Memory limits the total size of the bodies of calls in progress, so that large
-// bodies can't exhaust the instance's memory. The zero value has no limit.
+// Memory limits the total size of the bodies of calls in progress, or of the answers that
+// callers have not accepted yet, so that they can't exhaust the instance's memory. The zero
+// value has no limit.
 type Memory struct {
 	limit int64
 	used  atomic.Int64
@@ -25,11 +26,14 @@
 	return io.ReadAll(&countedReader{m: m, r: r})
 }
 
-// Free releases n bytes that Read has returned.
+// Free releases n bytes that Read has returned or TryReserve has taken.
 func (m *Memory) Free(n int) { m.used.Add(-int64(n)) }
 
-// reserve takes n bytes and reports whether they fit the limit.
-func (m *Memory) reserve(n int) bool {
+// Fits reports whether n more bytes fit the limit.
+func (m *Memory) Fits(n int) bool { return m.limit <= 0 || m.used.Load()+int64(n) <= m.limit }
+
+// TryReserve takes n bytes and reports whether they fit the limit.
+func (m *Memory) TryReserve(n int) bool {
 	if used := m.used.Add(int64(n)); m.limit > 0 && used > m.limit {
 		m.used.Add(-int64(n))
 		return false
@@ -45,7 +49,7 @@
 
 func (c *countedReader) Read(p []byte) (int, error) {
 	n, err := c.r.Read(p)
-	if !c.m.reserve(n) {
+	if !c.m.TryReserve(n) {
 		return 0, ErrNoMemory
 	}
 	return n, err
--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -22,7 +22,7 @@
 // activeCall is the state of a call in progress, over all its attempts.
 type activeCall struct {
 	h          *Handler
-	w          http.ResponseWriter
+	w          *callerWriter
 	call       *Call
 	grant      desired.Grant
 	print      poison.Fingerprint // identifies the request, also when the caller retries it
@@ -291,11 +291,11 @@
 		Msg("health: another target answers at the address; stale entry dropped")
 }
 
-// abandon ends a call whose caller has disconnected. It never returns: a handler that
-// returns without an answer sends an empty success.
-func (c *activeCall) abandon() {
+// abandon ends a call whose caller has disconnected or, by cause, accepts no more of the
+// answer. It never returns: a handler that returns without an answer sends an empty success.
+func (c *activeCall) abandon(cause error) {
 	c.h.stats.abandoned.Inc(1)
-	c.logFailure(0, "caller disconnected", nil)
+	c.logFailure(0, "caller disconnected", cause)
 	panic(http.ErrAbortHandler)
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/poison"
@@ -15,8 +17,12 @@
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
-// eventQueueSize is how many events are read ahead of a slow caller.
-const eventQueueSize = 64
+// eventQueueSize and maxQueuedBytes bound how many events, and of what total size, are
+// read ahead of a slow caller. A larger event is queued alone.
+const (
+	eventQueueSize = 64
+	maxQueuedBytes = 16 << 10
+)
 
 type (
 	// attempt is one send of a stream to one target.
@@ -40,6 +46,7 @@
 		lastEventAt    clock.Time // 0: none yet
 		lastEventLate  bool       // the last event was late, as after a lost packet
 		results        chan readResult
+		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
 		sendResult     chan error // result of Sender.Send, sent once
 		events         int        // events received
@@ -63,6 +70,8 @@
 		readAt clock.Time // when the event was read
 		err    error
 		end    bool
+		space  int64 // bytes taken out of attempt.queueSpace
+		memory int   // bytes taken out of Handler.answerMemory
 	}
 )
 
@@ -76,10 +85,14 @@
 // the error that ends the attempt.
 func (a *attempt) sendCatchingPanic(ctx context.Context, r *AttemptRequest) {
 	emitResult := func(result readResult) bool {
+		if !a.reserveSpace(ctx, &result) {
+			return false
+		}
 		select {
 		case a.results <- result:
 			return true
 		case <-ctx.Done():
+			a.freeSpace(result)
 			return false
 		}
 	}
@@ -90,6 +103,9 @@
 		}
 		emitResult(readResult{err: err, end: true})
 	}
+	if ctx.Err() != nil {
+		a.freeQueue() // runAttempt may have done so before the last result was added
+	}
 }
 
 // send sends the attempt and passes everything received from the target to emitResult.
@@ -102,7 +118,7 @@
 	}
 	defer reply.Body.Close()
 	if reply.Status != http.StatusOK {
-		body, err := readBody(reply.Body)
+		body, err := readFailure(reply.Body)
 		emitResult(readResult{reply: reply, event: Event{Raw: body}, err: err, end: true})
 		return
 	}
@@ -113,6 +129,44 @@
 	emitResult(readResult{err: err, end: true})
 }
 
+// reserveSpace waits for space in the queue of results. While the memory for answers is
+// used up, the queue holds one event at a time.
+func (a *attempt) reserveSpace(ctx context.Context, result *readResult) bool {
+	size := len(result.event.Raw)
+	if size == 0 {
+		return true
+	}
+	result.space = int64(min(size, maxQueuedBytes))
+	if a.s.h.answerMemory.TryReserve(size) {
+		result.memory = size
+	} else {
+		result.space = maxQueuedBytes
+	}
+	if a.queueSpace.Acquire(ctx, result.space) == nil {
+		return true
+	}
+	a.s.h.answerMemory.Free(result.memory)
+	return false
+}
+
+// freeSpace frees what reserveSpace has taken for a result.
+func (a *attempt) freeSpace(result readResult) {
+	a.s.h.answerMemory.Free(result.memory)
+	a.queueSpace.Release(result.space)
+}
+
+// freeQueue frees the space of the results that were not read.
+func (a *attempt) freeQueue() {
+	for {
+		select {
+		case result := <-a.results:
+			a.freeSpace(result)
+		default:
+			return
+		}
+	}
+}
+
 // generationTime returns the time since the engine sent the head of its answer; 0 if it has
 // sent none.
 func (a *attempt) generationTime(now clock.Time) time.Duration {
@@ -163,13 +217,16 @@
 				a.headReceived, a.headReceivedAt = true, now
 			}
 			if result.end {
+				defer a.freeSpace(result)
 				return a.finish(ctx, head, result)
 			}
 			if result.event.Raw != nil {
 				a.member.Health().RecordContact(result.readAt)
 				a.observeEvent(result.readAt)
 				a.recordPace()
-				if err := a.forward(head, result.event); err != nil {
+				err := a.forward(head, result.event)
+				a.freeSpace(result)
+				if err != nil {
 					return err
 				}
 			}
@@ -240,7 +297,7 @@
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return err
 	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
+	if err := s.w.flush(); err != nil {
 		return err
 	}
 	if event.ID != 0 {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/cachelocation"
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -38,6 +39,9 @@
 	noTargetRetryAfter = 400 * time.Millisecond
 	// drainingRetryAfter is sent by a draining instance; the retry reaches another one.
 	drainingRetryAfter = 20 * time.Millisecond
+	// noMemoryRetryAfter is sent while answers that callers read slowly take all memory
+	// for answers. It is short, since another instance may have memory.
+	noMemoryRetryAfter = 300 * time.Millisecond
 )
 
 type (
@@ -59,6 +63,7 @@
 		isReady        func() bool
 		links          health.Links  // packet loss on the link to each zone
 		paces          pace.Services // measured paces of the engines of each service
+		answerMemory   *admit.Memory // for parts of answers that callers have not accepted yet
 		fixedPace      *pace.Pace    // nil: the measured paces apply
 		log            zerolog.Logger
 		stats          stats
@@ -91,6 +96,9 @@
 		PoisonTracker *poison.Tracker
 		// Rollouts tracks the roll-outs of services; nil: none.
 		Rollouts *rollout.Tracker
+		// AnswerMemory limits the parts of answers that callers have not accepted yet;
+		// nil: no limit.
+		AnswerMemory *admit.Memory
 		// ClaimProbe claims the probe of a quarantined request and reports whether this
 		// instance got it; nil: claims it in PoisonTracker only.
 		ClaimProbe func(ctx context.Context, p poison.Probe) bool
@@ -119,13 +127,16 @@
 	if cfg.Engines == nil {
 		cfg.Engines = route.Engines{}
 	}
+	if cfg.AnswerMemory == nil {
+		cfg.AnswerMemory = &admit.Memory{}
+	}
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
 	return &Handler{notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
 		rollouts: cfg.Rollouts, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
-		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, log: cfg.Log, stats: newStats(cfg.Scope)}
+		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
 
 // Drain starts draining: the handler asks callers to use other instances and rejects new
@@ -142,9 +153,10 @@
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
 // Serve answers one call. ctx is cancelled when the caller disconnects.
-func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+func (h *Handler) Serve(ctx context.Context, rw http.ResponseWriter, call *Call) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
+	w := newCallerWriter(rw)
 	if h.Draining() || !h.isReady() {
 		// Makes the caller open its next connection to another instance.
 		w.Header().Set("Connection", "close")
@@ -162,10 +174,15 @@
 	limit -= now.Sub(call.Received)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	c := &activeCall{h: h, w: w, call: call, grant: grant, print: poison.Of(grant.Org, call.Method, call.Host, call.Path, call.Body), deadline: now.Add(limit)}
+	w.deadline = now.Add(limit)
+	c := &activeCall{h: h, w: w, call: call, grant: grant, print: poison.Of(grant.Org, call.Method, call.Host, call.Path, call.Body), deadline: w.deadline}
 	if !c.passesQuarantine(ctx) {
 		return
 	}
+	if !h.answerMemory.Fits(maxQueuedBytes) {
+		c.reject("no memory for the answer", noMemoryRetryAfter)
+		return
+	}
 	h.retryBudget.CountCall(grant.Service.Name(), now)
 	c.role = h.rollouts.AssignRole(grant.Service.Name(), grant.Route.Name())
 	if grant.Route.Kind() != ragworthitch.CallStream {
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -24,31 +25,50 @@
 	// an answer is also sent to a second target, whose answer can still be in time.
 	hedgeDelayShare = 0.6
 	// minHedgeDelay prevents hedging of every call on routes with a very low objective.
-	minHedgeDelay  = 40 * time.Millisecond
-	maxAnswerBytes = 8 << 20
+	minHedgeDelay = 40 * time.Millisecond
+	// maxBufferedBytes is the largest answer that is read whole before any of it is sent
+	// to the caller. The rest of a larger one is passed on as it is read, so that a slow
+	// caller takes little memory; the call then cannot be retried.
+	maxBufferedBytes = 16 << 10
+	// maxFailureBytes is the largest answer to a stream that is not a stream.
+	maxFailureBytes = 64 << 10
 	// hungAfter is the time without an answer after which a cancelled attempt counts as a
 	// failure of its target.
 	hungAfter = 400 * time.Millisecond
 )
 
-var errAnswerTooLarge = errors.New("ingress: answer is larger than 8 MiB")
+var errAnswerTooLarge = errors.New("ingress: answer is larger than 64 KiB")
 
 // attemptResult is the result of one attempt of a plain call.
 type attemptResult struct {
 	member *registry.Member
 	reply  *Reply
 	body   []byte
+	rest   io.Reader // what follows body; nil: body is the whole answer
 	err    error
+	end    func() // ends the attempt at its target, if rest is not nil
 }
 
-// servePlain serves a call of a plain service. It reads the whole answer before it sends
-// any of it, so that a truncated answer never reaches the caller.
+// close ends the attempt if it is still in progress.
+func (r *attemptResult) close() {
+	if r.rest == nil {
+		return
+	}
+	r.reply.Body.Close()
+	r.end()
+}
+
+// servePlain serves a call of a plain service. An answer of up to maxBufferedBytes is read
+// whole before it is sent, so that the call can be retried if the answer is truncated.
 func (c *activeCall) servePlain(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the other attempts
 	safe := c.grant.Route.Kind() == ragworthitch.CallSafe
 	results := make(chan attemptResult, maxDials+c.grant.Route.MaxAttempts())
 	pending, dials := 0, 0
+	defer func() {
+		cancel() // ends the other attempts
+		go closeAll(results, pending)
+	}()
 	startAttempt := func() bool {
 		if dials >= maxDials {
 			return false
@@ -74,6 +94,7 @@
 		select {
 		case result := <-results:
 			pending--
+			defer result.close()
 			if c.deliver(result) {
 				return
 			}
@@ -96,8 +117,11 @@
 				c.h.stats.hedged.Inc(1)
 			}
 		case <-ctx.Done():
-			for ; pending > 0; pending-- { // the attempts end with ctx
-				if c.deliver(<-results) {
+			for pending > 0 { // the attempts end with ctx
+				pending--
+				result := <-results
+				defer result.close()
+				if c.deliver(result) {
 					return
 				}
 			}
@@ -113,6 +137,14 @@
 	c.fail(http.StatusBadGateway, "no target answered", cause)
 }
 
+// closeAll ends the next n attempts whose results arrive.
+func closeAll(results <-chan attemptResult, n int) {
+	for range n {
+		result := <-results
+		result.close()
+	}
+}
+
 // deliver records the result of an attempt. It sends a successful answer to the caller and
 // reports whether it did.
 func (c *activeCall) deliver(result attemptResult) bool {
@@ -150,21 +182,33 @@
 // the target's boot ends.
 func (c *activeCall) sendPlain(parent context.Context, m *registry.Member) attemptResult {
 	startedAt := clock.Now()
-	_, end := m.Work().Begin(0, 0)
-	defer end()
+	_, endWork := m.Work().Begin(0, 0)
 	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
 	sentWallTime := time.Now()
-	defer context.AfterFunc(m.Life(), func() {
+	stopWatching := context.AfterFunc(m.Life(), func() {
 		if m.Lost(sentWallTime) {
 			cancel()
 		}
-	})()
-	result := attemptResult{member: m}
+	})
+	reserved := 0 // bytes taken out of the memory for answers
+	result := attemptResult{member: m, end: sync.OnceFunc(func() {
+		stopWatching()
+		cancel()
+		endWork()
+		c.h.answerMemory.Free(reserved)
+	})}
+	defer func() {
+		if result.rest == nil {
+			result.end()
+		}
+	}()
 	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt)}
 	result.reply, result.err = c.h.sender.Send(ctx, r)
 	if result.err == nil {
-		result.body, result.err = readBody(result.reply.Body)
+		result.body, result.rest, result.err = readStart(result.reply.Body)
+	}
+	if result.rest != nil && c.h.answerMemory.TryReserve(maxBufferedBytes) {
+		reserved = maxBufferedBytes
 	}
 	c.recordHealth(parent, result, startedAt)
 	return result
@@ -198,29 +242,63 @@
 // failExpired answers a call whose deadline has passed or whose caller has disconnected.
 func (c *activeCall) failExpired(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		c.abandon()
+		c.abandon(nil)
 	}
 	c.fail(http.StatusGatewayTimeout, "deadline exceeded", ctx.Err())
 }
 
-// writeAnswer sends a whole answer to the caller.
+// writeAnswer sends a target's answer to the caller.
 func (c *activeCall) writeAnswer(result *attemptResult) {
 	copyHeaders(c.w, result.reply)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
+	if result.rest == nil {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
+	}
 	c.w.WriteHeader(result.reply.Status)
 	if _, err := c.w.Write(result.body); err != nil {
-		c.h.log.Info().Str("request", c.call.ID).Err(err).Msg("ingress: caller disconnected before the answer was written")
+		c.abandon(err)
+	}
+	if result.rest != nil {
+		c.passOn(result)
+	}
+}
+
+// passOn sends the rest of an answer to the caller as it is read. An answer that cannot be
+// passed on to its end is cut off, so that it does not look complete.
+func (c *activeCall) passOn(result *attemptResult) {
+	_, err := io.CopyBuffer(c.w, struct{ io.Reader }{result.rest}, result.body)
+	switch {
+	case err == nil:
+		return
+	case errors.Is(err, errCallerStalled):
+		c.abandon(err)
+	}
+	c.h.stats.failed.Inc(1)
+	c.logFailure(0, "answer truncated", err)
+	panic(http.ErrAbortHandler)
+}
+
+// readStart reads the body of an answer up to maxBufferedBytes, and closes it if that was
+// all; otherwise it also returns the rest.
+func readStart(r io.ReadCloser) (start []byte, rest io.Reader, err error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxBufferedBytes+1))
+	if err == nil && len(b) > maxBufferedBytes {
+		return b, r, nil
+	}
+	r.Close()
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", upstream.ErrSent, err)
 	}
+	return b, nil, nil
 }
 
-// readBody reads and closes the body of an answer of at most maxAnswerBytes.
-func readBody(r io.ReadCloser) ([]byte, error) {
+// readFailure reads and closes the body of an answer of at most maxFailureBytes.
+func readFailure(r io.ReadCloser) ([]byte, error) {
 	defer r.Close()
-	b, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(r, maxFailureBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrSent, err)
 	}
-	if len(b) > maxAnswerBytes {
+	if len(b) > maxFailureBytes {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrSent, errAnswerTooLarge)
 	}
 	return b, nil
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/ragworthitch/ragworthitch/cachelocation"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/poison"
@@ -81,6 +83,9 @@
 		if !errors.Is(err, upstream.ErrNotSent) {
 			s.mayHaveRun = true
 		}
+		if errors.Is(err, errCallerStalled) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			s.abandon(err)
+		}
 		if ctx.Err() != nil {
 			s.abortExpired(ctx)
 			return
@@ -164,7 +169,7 @@
 // abortExpired ends a stream whose deadline has passed or whose caller has disconnected.
 func (s *stream) abortExpired(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		s.abandon()
+		s.abandon(nil)
 	}
 	s.abort(ctx, http.StatusGatewayTimeout, "deadline exceeded", ctx.Err())
 }
@@ -198,13 +203,14 @@
 	a := &attempt{s: s, member: member, replicaTarget: replicaTarget, startedAt: now, sentWallTime: time.Now(), lastActivityAt: now,
 		intervalObjective: s.intervalObjective(), rank: r.Rank, prefillTokens: prefillTokens,
 		fromStart: s.lastID == 0 && replicaTarget == nil, prefillBacklog: prefillBacklog, prefillDone: prefillDone,
-		results: make(chan readResult, eventQueueSize), connFailures: make(chan connFailure), sendResult: make(chan error, 1)}
+		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sendResult: make(chan error, 1)}
 	p := s.pace()
 	a.expectedAtSend = p.TimeToFirstEvent(prefillBacklog+prefillTokens, p.EventInterval)
 	go a.sendCatchingPanic(ctx, r)
 	err := a.watch(ctx)
 	cancel()
-	failedAtTarget := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errPanic)
+	a.freeQueue()
+	failedAtTarget := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errCallerStalled)
 	if a.headReceived && err != nil && parent.Err() == nil && failedAtTarget {
 		totalEvents := s.totalEvents
 		go s.h.catchPanic(s.call.ID, func() { s.investigateCrash(member, a.headReceivedAt, totalEvents) })
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -53,6 +53,10 @@
 	// bodyFraction of the memory limit bounds the bodies of calls in progress.
 	bodyFraction = 0.25
 
+	// answerFraction of the memory limit bounds the parts of answers that callers have
+	// not accepted yet.
+	answerFraction = 0.15
+
 	// announceTimeout bounds a write of this instance's entry or a call for cache
 	// locations, and is the delay after a failed one.
 	announceTimeout = time.Second
@@ -61,6 +65,8 @@
 
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second // longer than the idle timeouts that operators set
+	// writeTimeout bounds the writing of answers that set no deadline of their own.
+	writeTimeout = 5 * time.Second
 
 	// drainAcceptPeriod is how long a draining instance still accepts calls: the
 	// load balancer checks readiness every second and acts on the second failure.
@@ -114,7 +120,8 @@
 	i.budget = budget.New(budget.Limit{Ratio: bounds.BudgetRatio, Extra: bounds.BudgetExtra, Window: bounds.BudgetWindow}, i.peers.InstanceCount)
 	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Budget: i.budget, Log: log}
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
-		Sender: platform.Sender{}, Ready: i.Ready, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, ClaimProbe: i.claimProbe, Log: log, Scope: scope})
+		Sender: platform.Sender{}, Ready: i.Ready, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, ClaimProbe: i.claimProbe,
+		AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
 	return i
 }
 
@@ -184,7 +191,7 @@
 
 // serve runs an HTTP server on ln until the group stops.
 func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
 	p.Go(func(context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
