--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -33,10 +33,16 @@
 	maxAttempts  = 4  // attempts that the route allows
 )
 
-var errBroken = errors.New("connection reset")
+var (
+	errBroken = errors.New("connection reset")
+	// misleadingStatuses promise that a call has not run. A target that ran it may still
+	// answer with them.
+	misleadingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+)
 
 // faultySender answers at random like failing engines: complete, cut off at any byte,
-// refused, as another target, or with events out of sequence.
+// refused, as another target, with events out of sequence, or with a status that promises
+// that the call has not run although it has.
 type faultySender struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -50,7 +56,7 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 	}
-	outcome := s.rng.IntN(10)
+	outcome := s.rng.IntN(10 + len(misleadingStatuses))
 	if outcome == 0 {
 		return nil, fmt.Errorf("%w: refused", upstream.ErrNotSent)
 	}
@@ -68,6 +74,9 @@
 	case 4:
 		return &Reply{Status: http.StatusInternalServerError, Header: http.Header{}, Body: body("failed")}, nil
 	}
+	if outcome >= 10 {
+		return &Reply{Status: misleadingStatuses[outcome-10], Header: http.Header{}, Body: body("failed")}, nil
+	}
 	return &Reply{Status: http.StatusOK, Delimited: true, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: s.stream(r)}, nil
 }
 
@@ -152,7 +161,7 @@
 		w, cut := serve(newTestHandler(t, s, ragworthitch.CallStream), c)
 		checkStream(t, w, cut, lastEvent)
 		require.LessOrEqual(t, s.startedCount(), maxAttempts)
-		if w.Code == http.StatusServiceUnavailable && !cut {
+		if promisesNotRun(w.Code) && !cut {
 			require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
 		}
 	})
@@ -190,8 +199,7 @@
 		w, _ := serve(newTestHandler(t, s, ragworthitch.CallUnsafe), &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x",
 			Header: http.Header{}, Received: clock.Now()})
 		require.LessOrEqual(t, s.startedCount(), 1)
-		switch w.Code {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		if promisesNotRun(w.Code) {
 			require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
 		}
 	})
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -247,8 +247,23 @@
 	c.fail(http.StatusGatewayTimeout, "deadline exceeded", ctx.Err())
 }
 
-// writeAnswer sends a target's answer to the caller.
+// promisesNotRun reports whether an answer with the status tells the caller that the call
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// writeAnswer sends a target's answer to the caller. The target may have run the call, so
+// the status must not promise the contrary.
 func (c *activeCall) writeAnswer(result *attemptResult) {
+	if promisesNotRun(result.reply.Status) {
+		c.fail(http.StatusBadGateway, "target may have run the call that it rejected", nil)
+		return
+	}
 	copyHeaders(c.w, result.reply)
 	if result.rest == nil {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
