budget: no extra retries while the number of instances is unknown

Cause: while the table of instances could not be read, an instance assumed 380 of them: a constant that holds only while the fleet is smaller. What the extra retries of all come to then grows with the number of instances. Change: an unknown number gives no extra retries; the share of the calls remains.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -25,8 +25,6 @@
 	// staleAfter is the age from which the number of instances counts as stale. Twice
 	// as many are assumed then.
 	staleAfter = 20 * time.Second
-	// assumedInstances is the number of instances that is assumed while it is unknown.
-	assumedInstances = 380
 )
 
 type (
@@ -97,15 +95,21 @@
 	return ratioMargin*b.limit.Ratio*float64(calls) + b.extra(now), used
 }
 
-// extra returns this instance's part of the extra retries.
+// extra returns this instance's part of the extra retries. While the number of instances
+// is unknown it is none, since any number of instances may have started at once.
 func (b *Budget) extra(now clock.Time) float64 {
 	if b.instanceCount == nil {
 		return b.limit.Extra
 	}
-	return extraMargin * b.limit.Extra / float64(b.Instances(now))
+	n := b.Instances(now)
+	if n == 0 {
+		return 0
+	}
+	return extraMargin * b.limit.Extra / float64(n)
 }
 
-// Instances returns the number of instances that are assumed to share the limit.
+// Instances returns the number of instances that are assumed to share the limit; 0 if
+// unknown.
 func (b *Budget) Instances(now clock.Time) int {
 	if b.instanceCount == nil {
 		return 1
@@ -113,7 +117,7 @@
 	n, at, ok := b.instanceCount()
 	switch {
 	case !ok:
-		return assumedInstances
+		return 0
 	case now.Sub(at) > staleAfter:
 		return 2 * n
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -81,6 +82,7 @@
 	Instances  int     // at the start
 	Quiet      bool    // one call per second in total instead of one per instance
 	Unreadable bool    // the table of instances can't be read
+	Extra      float64 // extra retries; 0: those of testLimit
 	Outage     float64 // second from which the table can't be read; 0: none
 	// Zones is the number of zones, whose calls fail one zone after the other, 2.5 s
 	// each, while instances borrow from others. 0: all calls fail all the time.
@@ -99,10 +101,12 @@
 func (tt deploymentCase) simulate(t *testing.T, seed uint64) float64 {
 	const ticks, tick, readInterval = 400, 100 * time.Millisecond, 1500 * time.Millisecond
 	rng := rand.New(rand.NewPCG(seed, 4))
+	limit := testLimit
+	limit.Extra = cmp.Or(tt.Extra, limit.Extra)
 	var all []*instance
 	add := func() {
 		e := &instance{}
-		e.b = New(testLimit, func() (int, clock.Time, bool) { return e.n, e.at, e.n > 0 })
+		e.b = New(limit, func() (int, clock.Time, bool) { return e.n, e.at, e.n > 0 })
 		all = append(all, e)
 	}
 	for range tt.Instances {
@@ -159,14 +163,14 @@
 			}
 		}
 	}
-	maxUse, window := 0.0, int(testLimit.Window/tick)
+	maxUse, window := 0.0, int(limit.Window/tick)
 	for i := window; i <= ticks; i++ {
 		c, r := 0, 0
 		for j := i - window; j < i; j++ {
 			c, r = c+calls[j], r+retries[j]
 		}
-		maxUse = max(maxUse, float64(r)/(testLimit.Ratio*float64(c)+testLimit.Extra))
-		require.LessOrEqual(t, float64(r), testLimit.Ratio*float64(c)+testLimit.Extra, "seed %d, window ending at tick %d", seed, i)
+		maxUse = max(maxUse, float64(r)/(limit.Ratio*float64(c)+limit.Extra))
+		require.LessOrEqual(t, float64(r), limit.Ratio*float64(c)+limit.Extra, "seed %d, window ending at tick %d", seed, i)
 	}
 	return maxUse
 }
