health, ingress: learn how large the request bodies are that a target can hold

Cause: a target crashes if the requests that it holds exceed its memory; nothing knew how much that is, so that more went to it, and each of its requests counted as one that may crash targets. Change: Work counts the bodies of calls in progress, views report them from 256 kB on. A crash under much more than targets of the service were seen to hold is put down to memory unless the request itself is most of it; it then sets a limit, which keeps calls away from targets without room while others have some, and is no crash record. Not done: memory of unread answers at targets, engines' prompts (counted in tokens already).

--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -36,6 +36,10 @@
 // allows as spare.
 func (c *activeCall) pickByPlacement(now clock.Time, p rollout.Placement, pick func([]*registry.Member) *registry.Member) *registry.Member {
 	ms := c.h.targets.Service(c.service())
+	if c.h.targetMemory.HasLimit(c.service()) {
+		pickAny := pick
+		pick = func(ms []*registry.Member) *registry.Member { return c.pickWithMemory(ms, pickAny) }
+	}
 	if !p.IsRestricted() {
 		return pick(ms)
 	}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -63,6 +63,7 @@
 		isReady        func() bool
 		links          health.Links  // packet loss on the link to each zone
 		paces          pace.Services // measured paces of the engines of each service
+		targetMemory   health.Memory // sizes of bodies that targets can hold
 		answerMemory   *admit.Memory // for parts of answers that callers have not accepted yet
 		fixedPace      *pace.Pace    // nil: the measured paces apply
 		log            zerolog.Logger
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -183,6 +183,7 @@
 func (c *activeCall) sendPlain(parent context.Context, m *registry.Member) attemptResult {
 	startedAt := clock.Now()
 	_, endWork := m.Work().Begin(0, 0)
+	dropBody := m.Work().AddBody(len(c.call.Body))
 	ctx, cancel := context.WithCancel(parent)
 	sentWallTime := time.Now()
 	stopWatching := context.AfterFunc(m.Life(), func() {
@@ -195,6 +196,7 @@
 		stopWatching()
 		cancel()
 		endWork()
+		dropBody()
 		c.h.answerMemory.Free(reserved)
 	})}
 	defer func() {
@@ -227,13 +229,14 @@
 		c.eject(result.member, health.CauseRefused, result.err)
 	case result.err != nil:
 		result.member.Health().Answered(now, took, true)
-		go c.investigatePlainLoss(result.member, startedAt)
+		go c.investigatePlainLoss(result.member, startedAt, result.member.Work().PeakBodies())
 		c.recordPlainSymptoms(result, startedAt, took)
 		c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.print).
 			Str("target", result.member.Target().ID()).Dur("after", took).Err(result.err).Msg("ingress: target sent no complete answer")
 	case result.reply.WrongTarget:
 		c.dropStaleEntry(result.member)
 	default:
+		c.h.targetMemory.Survived(c.service(), result.member.Work().All().Bodies)
 		result.member.Health().Answered(now, took, result.reply.isFailure())
 		c.recordPlainSymptoms(result, startedAt, took)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -198,6 +198,7 @@
 	s.h.cacheLocations.RecordOwn(cachelocation.Location{Subject: s.call.Subject, Engine: member.Target().Boot()}, now)
 	s.h.notifyPeers()
 	defer attemptDone()
+	defer member.Work().AddBody(len(s.call.Body))()
 	s.h.rollouts.Sent(s.service(), member.Target().Version(), s.role, s.attempts > 0)
 	s.attempts++
 	a := &attempt{s: s, member: member, replicaTarget: replicaTarget, startedAt: now, sentWallTime: time.Now(), lastActivityAt: now,
@@ -212,8 +213,11 @@
 	a.freeQueue()
 	failedAtTarget := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errCallerStalled)
 	if a.headReceived && err != nil && parent.Err() == nil && failedAtTarget {
-		totalEvents := s.totalEvents
-		go s.h.catchPanic(s.call.ID, func() { s.investigateCrash(member, a.headReceivedAt, totalEvents) })
+		totalEvents, bodies := s.totalEvents, member.Work().PeakBodies()
+		go s.h.catchPanic(s.call.ID, func() { s.investigateCrash(member, a.headReceivedAt, totalEvents, bodies) })
+	}
+	if err == nil {
+		s.h.targetMemory.Survived(s.service(), member.Work().All().Bodies)
 	}
 	s.recordAttemptEnd(parent, a, err)
 	return a, a.resolveSendError(err)
--- a/registry/work.go
+++ b/registry/work.go
@@ -2,8 +2,14 @@
 
 import (
 	"sync"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch/clock"
 )
 
+// peakTime is how long the largest size of bodies at a target is remembered.
+const peakTime = 3 * time.Second
+
 type (
 	// Load is the outstanding work at a target.
 	Load struct {
@@ -11,6 +17,7 @@
 		YieldingPrefill int // prompt tokens of calls without a first event whose prefill yields to others
 		Running         int // calls in progress
 		Tokens          int // memory of calls and replicas, in tokens
+		Bodies          int // size of the bodies of calls in progress, in bytes
 	}
 
 	// Work holds the load at one target: this instance's own and what its peers last
@@ -20,11 +27,15 @@
 		own      Load
 		peers    map[string]Load // last reports, by instance
 		onChange func(busy bool) // called after every change of own; may be nil
+
+		peakBodies   int        // largest recent Bodies of all instances
+		peakBodiesAt clock.Time // when it was reached; 0: never
 	}
 )
 
 func (l Load) add(o Load) Load {
-	return Load{Prefill: l.Prefill + o.Prefill, YieldingPrefill: l.YieldingPrefill + o.YieldingPrefill, Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens}
+	return Load{Prefill: l.Prefill + o.Prefill, YieldingPrefill: l.YieldingPrefill + o.YieldingPrefill, Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens,
+		Bodies: l.Bodies + o.Bodies}
 }
 
 // Prefilling reports whether a prefill is known to run at the target.
@@ -52,6 +63,35 @@
 	}
 }
 
+// AddBody adds the body of a call of the given size in bytes; drop removes the body.
+func (w *Work) AddBody(size int) (drop func()) {
+	if size == 0 {
+		return func() {}
+	}
+	w.change(Load{Bodies: size})
+	w.recordPeak(clock.Now())
+	return func() { w.change(Load{Bodies: -size}) }
+}
+
+// recordPeak updates the largest recent size of bodies.
+func (w *Work) recordPeak(now clock.Time) {
+	bodies := w.All().Bodies
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if bodies >= w.peakBodies || now.Sub(w.peakBodiesAt) > peakTime {
+		w.peakBodies, w.peakBodiesAt = bodies, now
+	}
+}
+
+// PeakBodies returns the largest size of the bodies at the target within about peakTime,
+// in bytes. The calls of a target that crashes end one after the other.
+func (w *Work) PeakBodies() int {
+	w.recordPeak(clock.Now())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peakBodies
+}
+
 // AddReplica adds a replica of the given size in tokens; drop removes the replica.
 func (w *Work) AddReplica(tokens int) (drop func()) {
 	w.change(Load{Tokens: tokens})
--- a/wire/view.go
+++ b/wire/view.go
@@ -43,6 +43,7 @@
 		YieldingPrefill int // the same, of calls whose prefill yields to other calls
 		Running         int // calls in progress
 		Tokens          int // KV cache of the instance's calls and replicas, in tokens
+		Bodies          int // size of the bodies of the instance's calls in bytes, if it is large
 		// EventInterval is the event interval of streams at the target, as the instance
 		// sees it; 0: no recent events.
 		EventInterval time.Duration
@@ -55,6 +56,15 @@
 		L []loadFrame          `cbor:"2,keyasint,omitempty"`
 		P []cacheLocationFrame `cbor:"3,keyasint,omitempty"`
 		D []crashFrame         `cbor:"4,keyasint,omitempty"`
+		B []bodiesFrame        `cbor:"5,keyasint,omitempty"`
+	}
+
+	// bodiesFrame holds TargetLoad.Bodies of the load with an index. It is apart from
+	// loadFrame because few loads have it.
+	bodiesFrame struct {
+		_ struct{} `cbor:",toarray"`
+		I int
+		N int
 	}
 
 	crashFrame struct {
@@ -92,7 +102,10 @@
 // EncodeView maps a view to its CBOR frame.
 func EncodeView(v View) ([]byte, error) {
 	f := viewFrame{N: v.Node}
-	for _, l := range v.Loads {
+	for i, l := range v.Loads {
+		if l.Bodies > 0 {
+			f.B = append(f.B, bodiesFrame{I: i, N: l.Bodies})
+		}
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.YieldingPrefill, R: l.Running, K: l.Tokens, G: l.EventInterval.Microseconds()})
 	}
 	f.P, f.D = encodeCacheLocations(v.CacheLocations), encodeCrashes(v.Crashes)
@@ -144,6 +157,12 @@
 	for _, l := range f.L {
 		v.Loads = append(v.Loads, TargetLoad{Target: ragworthitch.NewBoot(l.T, l.B), Prefill: l.P, YieldingPrefill: l.L, Running: l.R, Tokens: l.K, EventInterval: time.Duration(l.G) * time.Microsecond})
 	}
+	for _, b := range f.B {
+		if b.I < 0 || b.I >= len(v.Loads) {
+			return View{}, fmt.Errorf("%w: size of bodies for load %d of %d", ErrBadFrame, b.I, len(v.Loads))
+		}
+		v.Loads[b.I].Bodies = b.N
+	}
 	v.CacheLocations = decodeCacheLocations(f.P)
 	var err error
 	if v.Crashes, err = decodeCrashes(f.D); err != nil {
