exchange: select peers once the list of instances has settled

Cause: each entry of another instance that was read made an instance select its peers anew, with a sort of all of them (n^2 log n work at a start, two hashes a comparison), and open and close links to those that the selection changed. Change: Peers and the links follow the known peers 0.3 s after the last change, 1.5 s after the first one at the latest, or at a call of Settle; the selection computes each affinity once. After: at most 36 opened for 24 kept at 30, 300 and 1,000 instances.

--- a/exchange/internal_test.go
+++ b/exchange/internal_test.go
@@ -1,8 +1,11 @@
 package exchange
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -49,6 +52,67 @@
 	assert.GreaterOrEqual(t, kept, maxPeers-3)
 }
 
+// heldConn is a connection that accepts all views.
+type heldConn struct{}
+
+func (heldConn) SendView(context.Context, wire.View) error { return nil }
+func (heldConn) CloseNow() error                           { return nil }
+
+// Guards against links that are opened and closed again for each of many instances that
+// start at once, whose number grows faster than that of the links kept.
+func TestFewLinksReplacedAtStart(t *testing.T) {
+	for _, n := range []int{30, 300, 1000} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := New("n-0", "z0", &registry.Registry{}, &cachelocation.Table{}, &poison.Tracker{}, zerolog.Nop())
+				dials := map[string]int{}
+				e.dial = func(_ context.Context, addr string) (conn, error) {
+					e.mu.Lock()
+					defer e.mu.Unlock()
+					dials[addr]++
+					return heldConn{}, nil
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go e.Run(ctx)
+				order := rand.New(rand.NewPCG(uint64(n), 1)).Perm(n)
+				for k, i := range order { // entries appear over 1.2 s, in the order in which processes start
+					e.UpdatePeer(Peer{Node: fmt.Sprint("n-", i), Zone: fmt.Sprint("z", i%5), Addr: fmt.Sprint("10.0.0.1:", i)}, false)
+					if k%(n/24+1) == 0 {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+				time.Sleep(3 * time.Second)
+				e.mu.Lock()
+				kept := len(e.links)
+				e.mu.Unlock()
+				assert.Equal(t, min(n-1, maxPeers), kept)
+				assert.LessOrEqual(t, float64(len(dials)), 1.5*float64(kept), "links opened for %d that are kept", kept)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// BenchmarkUpdatePeers measures reading a table of instances after a restart.
+func BenchmarkUpdatePeers(b *testing.B) {
+	for _, n := range []int{100, 300, 1000} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for b.Loop() {
+				e := New("n-0", "z0", &registry.Registry{}, &cachelocation.Table{}, &poison.Tracker{}, zerolog.Nop())
+				ctx, cancel := context.WithCancel(context.Background())
+				cancel()
+				e.ctx = ctx
+				e.dial = func(context.Context, string) (conn, error) { return nil, context.Canceled }
+				for i := range n {
+					e.UpdatePeer(Peer{Node: fmt.Sprint("n-", i), Zone: fmt.Sprint("z", i%5), Addr: "10.0.0.1:1"}, false)
+				}
+				e.Settle()
+			}
+		})
+	}
+}
+
 // BenchmarkView measures the cost of a change of load for each connection: finding the
 // changed loads and encoding the frame.
 func BenchmarkView(b *testing.B) {
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/route"
@@ -17,6 +18,12 @@
 	// otherZonePeers is how many of maxPeers are reserved for other zones, so that
 	// forwarded reports cross zones.
 	otherZonePeers = 4
+	// settlePeriod is how long the known peers have to stay unchanged before links are
+	// opened and closed, and maxSettlePeriod bounds the delay while they keep changing.
+	// When many instances start at once, each of them would otherwise select its peers
+	// anew for every other one that appears.
+	settlePeriod    = 300 * time.Millisecond
+	maxSettlePeriod = 1500 * time.Millisecond
 )
 
 // Peer is another entry instance, as listed in the table of instances.
@@ -24,13 +31,19 @@
 	Node string // name of the instance
 	Zone string
 	Addr string // host:port where it accepts connections of peers
+	Rate int    // data rate of its machine's link in Mbit/s; 0: unknown
 }
 
-// UpdatePeer adds a peer or updates its address. With gone it removes the peer.
+// UpdatePeer adds a peer or updates its address. With gone it removes the peer. Peers and
+// the links follow after settlePeriod, or at the next call of Settle.
 func (e *Exchange) UpdatePeer(p Peer, gone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p.Node == e.node {
+	if p.Node == e.node && !gone {
+		e.ownEntry = p
+	}
+	known, ok := e.known[p.Node]
+	if p.Node == e.node || gone && !ok || !gone && ok && known == p {
 		return
 	}
 	if gone {
@@ -38,14 +51,56 @@
 	} else {
 		e.known[p.Node] = p
 	}
+	e.changedAt = clock.Now()
+	if e.unsettledSince == 0 {
+		e.unsettledSince = e.changedAt
+	}
+}
+
+// AwaitOwnEntry waits until the table of instances has been read, at most for timeout, and
+// returns the entry of this instance there; the zero Peer if there is none.
+func (e *Exchange) AwaitOwnEntry(ctx context.Context, timeout time.Duration) Peer {
+	for deadline := clock.Now().Add(timeout); clock.Now() < deadline && clock.Sleep(ctx, pollInterval); {
+		e.mu.Lock()
+		own, ok := e.ownEntry, e.knownAsOf != 0
+		e.mu.Unlock()
+		if ok {
+			return own
+		}
+	}
+	return Peer{}
+}
+
+// Settle makes Peers and the links follow the known peers at once.
+func (e *Exchange) Settle() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settle()
+}
+
+// settleIfDue calls settle if the known peers have changed and settlePeriod or
+// maxSettlePeriod has passed.
+func (e *Exchange) settleIfDue(now clock.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.unsettledSince != 0 && (now.Sub(e.changedAt) >= settlePeriod || now.Sub(e.unsettledSince) >= maxSettlePeriod) {
+		e.settle()
+	}
+}
+
+// settle makes Peers and the links follow the known peers. The caller holds e.mu.
+func (e *Exchange) settle() {
+	e.unsettledSince = 0
+	e.settled = slices.Collect(maps.Values(e.known))
 	e.updateLinks()
 }
 
-// Peers returns the known peers.
+// Peers returns the known peers, without the changes since the last call of settle. The
+// caller must not modify the slice.
 func (e *Exchange) Peers() []Peer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Collect(maps.Values(e.known))
+	return e.settled
 }
 
 // SetKnownAsOf records that the table of instances is complete up to the given time.
@@ -93,6 +148,10 @@
 func (e *Exchange) selectPeers() map[string]Peer {
 	all := slices.Collect(maps.Values(e.known))
 	key := route.Key(e.node)
+	affinity := make(map[string]float64, len(all))
+	for _, p := range all {
+		affinity[p.Node] = route.Affinity(key, p.Node)
+	}
 	slices.SortFunc(all, func(a, b Peer) int {
 		if (a.Zone == e.zone) != (b.Zone == e.zone) {
 			if a.Zone == e.zone {
@@ -100,7 +159,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(route.Affinity(key, b.Node), route.Affinity(key, a.Node))
+		return cmp.Compare(affinity[b.Node], affinity[a.Node])
 	})
 	ownZoneCount := slices.IndexFunc(all, func(p Peer) bool { return p.Zone != e.zone })
 	if ownZoneCount > maxPeers-otherZonePeers {
@@ -119,6 +178,6 @@
 	defer e.mu.Unlock()
 	if e.known[p.Node] == p {
 		delete(e.known, p.Node)
-		e.updateLinks()
+		e.settle()
 	}
 }
