relay: every instance keeps the tables it follows, and the changes before them are read once for all

Cause: an instance held a table for its peers only while they asked. One that they began to ask read the whole table a second time, and each peer that was behind its first version read it a second time as well: whole reads of n instances grew with the number of them that were asked first by anybody, and with each reading instance that was killed. Change: the cache follows what is read, from the store or from peers. A peer behind its first version makes it read the changes in between from the store, once for all that wait; if that fails the peer reads them itself, and not the whole table. A call that waits long is interrupted, not taken for missed changes, when peers begin to ask. Test changed: TestLargeRows let a reader ask after a version that nothing had given it; the reader's cache now gets the read from the store that the test speaks of.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -42,6 +42,10 @@
 	// longer available: the whole table has to be read again.
 	ErrChangesMissed = errors.New("discovery: changes were missed")
 
+	// ErrInterrupted is returned by a Source that ended a call early: the call should be
+	// repeated at once.
+	ErrInterrupted = errors.New("discovery: call interrupted")
+
 	errRelayFailed = errors.New("discovery: relay failed")
 	errPanicked    = errors.New("discovery: panic")
 )
@@ -128,7 +132,7 @@
 			continue
 		}
 		f.relayFailed = errors.Is(err, errRelayFailed)
-		if f.relayFailed {
+		if f.relayFailed || errors.Is(err, ErrInterrupted) {
 			continue // the relay logs the cause and returns false from ShouldAsk for a while
 		}
 		f.recordOutcome(err, start)
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -51,13 +51,15 @@
 // caches returns the tables that this instance can serve to its peers, by name.
 func (i *Instance) caches() map[string]*relay.Cache {
 	bothDeleted := func(a, b platform.StoredRow) bool { return a.Deleted && b.Deleted }
-	newCache := func(unchanged func(a, b platform.StoredRow) bool, wait time.Duration) *relay.Cache {
-		return relay.NewCache(unchanged, wait)
+	newCache := func(table string, unchanged func(a, b platform.StoredRow) bool, wait time.Duration) *relay.Cache {
+		return relay.NewCache(unchanged, wait, func(ctx context.Context, after int64) (platform.Page, error) {
+			return i.store.Changes(ctx, table, after, 0)
+		})
 	}
 	return map[string]*relay.Cache{
-		platform.TableOperator:  newCache(bothDeleted, min(i.relayWait(), i.desiredWait())),
-		platform.TableTargets:   newCache(platform.SameTarget, i.relayWait()),
-		platform.TableInstances: newCache(bothDeleted, peerWait),
+		platform.TableOperator:  newCache(platform.TableOperator, bothDeleted, min(i.relayWait(), i.desiredWait())),
+		platform.TableTargets:   newCache(platform.TableTargets, platform.SameTarget, i.relayWait()),
+		platform.TableInstances: newCache(platform.TableInstances, bothDeleted, peerWait),
 	}
 }
 
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -33,22 +34,31 @@
 	// peers still have time to ask elsewhere.
 	storeFailureGrace = 400 * time.Millisecond
 
+	// historyTimeout bounds a call for earlier changes. It is shorter than the time that
+	// the asking peer waits.
+	historyTimeout = 250 * time.Millisecond
+
 	// tombstoneTime is how long a deleted row is kept. A peer whose table is
 	// older has to read the whole table.
 	tombstoneTime = 60 * time.Second
 )
 
 type (
-	// Cache holds a table as this instance has read it from the store, while
-	// peers ask for it. Create it with NewCache.
+	// Cache holds a table as this instance has read it, from the store or from peers, so
+	// that it can answer as soon as peers ask. Create it with NewCache.
 	Cache struct {
 		unchanged func(a, b platform.StoredRow) bool
 		maxWait   time.Duration
 
+		historyTurn chan struct{} // holds a value while earlier changes are read
+		// readHistory reads the changes after a version from the store; nil: peers that
+		// are behind minVersion read the changes themselves.
+		readHistory func(ctx context.Context, after int64) (platform.Page, error)
+
 		mu            sync.Mutex
 		rows          map[string]*cachedRow // by key; nil: the table is not loaded
 		version       int64                 // version up to which the table is complete
-		minVersion    int64                 // peers at an earlier version have to read the whole table
+		minVersion    int64                 // deletions after this version are known
 		asOf          clock.Time            // time up to which the table is complete
 		unavailableAt clock.Time            // when the store was last unavailable; 0: never
 		failingSince  clock.Time            // first failure since the store last answered; 0: none
@@ -72,8 +82,11 @@
 // in their heartbeat at most. maxWait bounds how long a call for changes waits, at the
 // store and at a peer. It determines how soon an instance notices that the store
 // does not answer, and how soon its peers turn to another instance.
-func NewCache(unchanged func(a, b platform.StoredRow) bool, maxWait time.Duration) *Cache {
-	return &Cache{unchanged: unchanged, maxWait: maxWait, updated: make(chan struct{}), questioned: make(chan struct{})}
+//
+// readHistory reads the changes after a version from the store; it may be nil.
+func NewCache(unchanged func(a, b platform.StoredRow) bool, maxWait time.Duration, readHistory func(ctx context.Context, after int64) (platform.Page, error)) *Cache {
+	return &Cache{unchanged: unchanged, maxWait: maxWait, readHistory: readHistory, historyTurn: make(chan struct{}, 1),
+		updated: make(chan struct{}), questioned: make(chan struct{})}
 }
 
 // ServesPeers reports whether peers ask this instance for the table. If not, it
@@ -105,24 +118,43 @@
 	return c.rows != nil
 }
 
-// Clear drops the table, when no peer asks this instance any more.
-func (c *Cache) Clear() {
+// covers reports whether the cache holds the whole table as of a version.
+func (c *Cache) covers(version int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows != nil && c.version >= version
+}
+
+// clearFailure forgets that the store failed, when this instance asks peers instead.
+func (c *Cache) clearFailure() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rows, c.failingSince = nil, 0
+	c.failingSince = 0
+}
+
+// setUnavailableAt records when the store was last unavailable to a peer.
+func (c *Cache) setUnavailableAt(at clock.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unavailableAt = max(c.unavailableAt, at)
 }
 
 // Replace sets the whole table at a version, complete up to the time asOf.
 func (c *Cache) Replace(rows []platform.StoredRow, version int64, asOf clock.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rows == nil {
+	first := c.rows == nil
+	if first {
 		c.rows, c.minVersion, c.hasChanges = map[string]*cachedRow{}, version, true
 	}
 	present := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		present[r.Key] = true
-		c.putRow(r, version)
+		if first {
+			c.putRow(r, r.Version)
+		} else {
+			c.putRow(r, version)
+		}
 	}
 	for key, cached := range c.rows {
 		if !present[key] && !cached.row.Deleted {
@@ -146,6 +178,53 @@
 	c.advance(version, asOf)
 }
 
+// extendHistory reads the changes after a version from the store, so that peers at that
+// version need not read them. One call serves all peers that wait. It reports whether the
+// changes are known.
+func (c *Cache) extendHistory(ctx context.Context, after int64) bool {
+	select {
+	case c.historyTurn <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-c.historyTurn }()
+	if c.knowsDeletions(after) {
+		return true
+	}
+	if c.readHistory == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	p, err := c.readHistory(ctx, after)
+	if err != nil {
+		return false
+	}
+	c.addHistory(p.Rows, after)
+	return true
+}
+
+// knowsDeletions reports whether all deletions after a version are known.
+func (c *Cache) knowsDeletions(after int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return after >= c.minVersion
+}
+
+// addHistory adds the deletions among the changes after a version. The cache holds the
+// other rows already.
+func (c *Cache) addHistory(changes []platform.StoredRow, after int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := clock.Now()
+	for _, r := range changes {
+		if c.rows[r.Key] == nil && r.Deleted {
+			c.rows[r.Key] = &cachedRow{row: r, sendVersion: r.Version, sendVersionAt: now, changedAt: now}
+		}
+	}
+	c.minVersion = min(c.minVersion, after)
+}
+
 // StoreFailed records that a call to the store failed.
 func (c *Cache) StoreFailed(now clock.Time) {
 	c.mu.Lock()
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -56,7 +56,7 @@
 
 func (c cacheCase) run(t *testing.T) {
 	start := time.Now()
-	cache := NewCache(sameRow, 725*time.Millisecond)
+	cache := NewCache(sameRow, 725*time.Millisecond, nil)
 	cache.recordQuestion(clock.Now())
 	for n, s := range c.Steps {
 		time.Sleep(time.Until(start.Add(time.Duration(s.At * float64(time.Second)))))
--- a/relay/peer_reader.go
+++ b/relay/peer_reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -31,6 +32,7 @@
 
 var (
 	errAnswerTooLarge = errors.New("relay: answer exceeds the size limit; table has to be read from the store")
+	errPeerBehind     = errors.New("relay: peer does not know all changes; they have to be read from the store")
 	errPeerStale      = errors.New("relay: peer does not hold a current table")
 	errNoPeer         = errors.New("relay: no peer to ask")
 	errServesPeers    = errors.New("relay: peers have begun to ask this instance for the table")
@@ -85,7 +87,7 @@
 	asksPeer := ok && !servesPeers && !r.forceStore
 	r.forceStore = false
 	if asksPeer {
-		r.Cache.Clear()
+		r.Cache.clearFailure()
 	} else if !r.readsStore {
 		r.readsStore = true
 		r.Log.Info().Str("table", r.Table).Bool("asked", servesPeers).Bool("othersKnown", ok).Msg("relay: reading the table from the store")
@@ -95,12 +97,26 @@
 
 // ReadAll asks for the whole table. The range is ignored: the peer reads its own.
 func (r *PeerReader) ReadAll(ctx context.Context, _ platform.Range) (platform.Page, error) {
-	return r.askNext(ctx, wire.Question{Table: r.Table, Whole: true, WantsAsOf: r.WantsAsOf})
+	p, err := r.askNext(ctx, wire.Question{Table: r.Table, Whole: true, WantsAsOf: r.WantsAsOf})
+	if err == nil {
+		r.Cache.Replace(p.Rows, p.Version, p.AsOf)
+		r.Cache.setUnavailableAt(p.UnavailableAt)
+	}
+	return p, err
 }
 
-// Changes asks for rows that changed after a version.
+// Changes asks for rows that changed after a version. Its error wraps
+// discovery.ErrChangesMissed if Cache does not hold the table as of that version.
 func (r *PeerReader) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Page, error) {
-	return r.askNext(ctx, wire.Question{Table: r.Table, After: after, Wait: min(wait, r.Cache.maxWait), WantsAsOf: r.WantsAsOf})
+	if !r.Cache.covers(after) {
+		return platform.Page{}, fmt.Errorf("%w: %w", discovery.ErrChangesMissed, errNotCached)
+	}
+	p, err := r.askNext(ctx, wire.Question{Table: r.Table, After: after, Wait: min(wait, r.Cache.maxWait), WantsAsOf: r.WantsAsOf})
+	if err == nil {
+		r.Cache.Apply(p.Rows, p.Version, p.AsOf)
+		r.Cache.setUnavailableAt(p.UnavailableAt)
+	}
+	return p, err
 }
 
 // CloseIdleConnections closes the connection.
@@ -141,9 +157,7 @@
 		r.Selector.RecordSuccess(p.Node)
 		r.asOf = page.AsOf
 		return page, nil
-	case errors.Is(err, discovery.ErrChangesMissed):
-		return page, err
-	case errors.Is(err, errAnswerTooLarge):
+	case errors.Is(err, errPeerBehind), errors.Is(err, errAnswerTooLarge):
 		r.forceStore = true
 		return page, err
 	case errors.Is(context.Cause(ctx), errServesPeers):
@@ -197,7 +211,7 @@
 	}
 	switch answer.State {
 	case wire.AnswerMissed:
-		return platform.Page{}, discovery.ErrChangesMissed
+		return platform.Page{}, errPeerBehind
 	case wire.AnswerTooLarge:
 		return platform.Page{}, errAnswerTooLarge
 	}
--- a/relay/peer_reader_test.go
+++ b/relay/peer_reader_test.go
@@ -44,6 +44,7 @@
 		_, err = r.Changes(t.Context(), table, 1, time.Second)
 		assert.ErrorIs(t, err, errAnswerTooLarge)
 		assert.False(t, r.ShouldAsk(), "the next read goes to the store")
+		r.Cache.Apply([]platform.StoredRow{row(2, maxAnswerSize)}, 2, clock.Now())
 		assert.True(t, r.ShouldAsk(), "the read after that asks a peer")
 		_, err = r.Changes(t.Context(), table, 2, time.Second)
 		assert.NoError(t, err, "the reader goes on asking after the read from the store")
@@ -52,10 +53,10 @@
 
 // newCacheAndReader returns the cache of an instance and a reader that asks it.
 func newCacheAndReader() (*Cache, *PeerReader) {
-	cache := NewCache(sameRow, time.Minute)
+	cache := NewCache(sameRow, time.Minute, nil)
 	server := &Server{Tables: map[string]*Cache{table: cache}, Draining: func() bool { return false }, Log: zerolog.Nop()}
 	r := &PeerReader{Table: table, Selector: NewPeerSelector("me", "z", func() []exchange.Peer { return []exchange.Peer{{Node: nameRankedBefore("me", "z"), Zone: "z"}} }),
-		Cache: NewCache(sameRow, time.Minute), Dial: func(context.Context, string) (Conn, error) { return localConn{server}, nil }, Log: zerolog.Nop()}
+		Cache: NewCache(sameRow, time.Minute, nil), Dial: func(context.Context, string) (Conn, error) { return localConn{server}, nil }, Log: zerolog.Nop()}
 	cache.recordQuestion(clock.Now())
 	return cache, r
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -84,6 +84,9 @@
 	knownAsOf := c.completeAsOf()
 	for {
 		a, isNew, updated := c.answer(q, received, knownAsOf)
+		if a.State == wire.AnswerMissed && c.extendHistory(ctx, q.After) {
+			a, isNew, updated = c.answer(q, received, knownAsOf)
+		}
 		if rowsSize(a) > maxAnswerSize {
 			return wire.Answer{State: wire.AnswerTooLarge}
 		}
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -104,6 +104,8 @@
 		slowUntil        time.Time
 		slowLatency      time.Duration // until slowUntil
 		calls            int
+		wholeReads       int           // reads of the whole table from the store
+		peersKnownAfter  time.Duration // since an instance's start
 		instances        []*instance
 		maxAge           time.Duration
 		maxAgeAt         string
@@ -150,6 +152,39 @@
 	runScenarios(t, func(s scenario) bool { return s.Pair })
 }
 
+// Guards against reads of the whole table, and calls to the store, beyond the first ones
+// when many instances start at once and find each other afterwards, and when reading
+// instances are killed.
+func TestStartOfMany(t *testing.T) {
+	const zones = 5
+	for _, n := range []int{100, 400} {
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDeployment(t, n, zones, true, defaultMaxWait)
+				d.peersKnownAfter = 300 * time.Millisecond
+				ctx, cancel := context.WithCancel(t.Context())
+				for _, i := range d.instances {
+					time.AfterFunc(time.Duration(d.rng.IntN(int(300*time.Millisecond))), func() { i.start(ctx) })
+				}
+				go d.writeRows(ctx)
+				time.Sleep(3 * time.Second)
+				d.mu.Lock()
+				assert.LessOrEqual(t, d.wholeReads, n, "whole reads of %d instances", n)
+				assert.LessOrEqual(t, d.calls, 4*n+100, "calls to the store of %d instances", n)
+				d.wholeReads = 0
+				d.mu.Unlock()
+				go d.injectFault(ctx, fault{Kind: "kill", First: 2, For: 10})
+				time.Sleep(5 * time.Second)
+				d.mu.Lock()
+				assert.LessOrEqual(t, d.wholeReads, 2*zones, "whole reads after the reading instances were killed")
+				d.mu.Unlock()
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // runScenarios runs the selected scenarios, each with and without heartbeats.
 func runScenarios(t *testing.T, selected func(scenario) bool) {
 	b, err := os.ReadFile("testdata/spread.yaml")
@@ -166,14 +201,8 @@
 }
 
 func runScenario(t *testing.T, s scenario, heartbeats bool) {
-	d := &deployment{t: t, heartbeats: heartbeats, maxWait: cmp.Or(time.Duration(s.Wait)*time.Millisecond, defaultMaxWait), rng: rand.New(rand.NewPCG(uint64(s.Instances), 1)), start: time.Now(), stored: map[string]platform.StoredRow{}, changed: make(chan struct{})}
+	d := newDeployment(t, s.Instances, s.Zones, heartbeats, cmp.Or(time.Duration(s.Wait)*time.Millisecond, defaultMaxWait))
 	ctx, cancel := context.WithCancel(t.Context())
-	for k := range rowCount {
-		d.changeRow(fmt.Sprint("k", k), 0, false)
-	}
-	for i := range s.Instances {
-		d.addInstance(fmt.Sprint("n", i), fmt.Sprint("z", i%s.Zones))
-	}
 	for _, i := range d.instances {
 		i.start(ctx)
 	}
@@ -198,6 +227,19 @@
 	synctest.Wait()
 }
 
+// newDeployment returns a deployment whose instances have not started.
+func newDeployment(t *testing.T, instances, zones int, heartbeats bool, maxWait time.Duration) *deployment {
+	d := &deployment{t: t, heartbeats: heartbeats, maxWait: maxWait, rng: rand.New(rand.NewPCG(uint64(instances), 1)), start: time.Now(),
+		stored: map[string]platform.StoredRow{}, changed: make(chan struct{})}
+	for k := range rowCount {
+		d.changeRow(fmt.Sprint("k", k), 0, false)
+	}
+	for i := range instances {
+		d.addInstance(fmt.Sprint("n", i), fmt.Sprint("z", i%zones))
+	}
+	return d
+}
+
 // writeRows writes random rows until ctx ends.
 func (d *deployment) writeRows(ctx context.Context) {
 	interval := heartbeatInterval / rowCount
@@ -277,12 +319,18 @@
 	if checkedFrom := time.Now().Add(startupTime); checkedFrom.After(i.checkedFrom) {
 		i.checkedFrom = checkedFrom
 	}
+	startedAt := time.Now()
 	i.selector = NewPeerSelector(i.name, i.zone, func() []exchange.Peer {
+		if time.Since(startedAt) < i.d.peersKnownAfter {
+			return nil
+		}
 		return slices.DeleteFunc(i.d.peers(), func(p exchange.Peer) bool { return p.Node == i.name })
 	})
-	cache := NewCache(sameRow, i.d.maxWait)
-	i.server = &Server{Tables: map[string]*Cache{table: cache}, Draining: func() bool { return false }, Log: zerolog.Nop()}
 	store := &storeReader{i: i, processCtx: i.processCtx}
+	cache := NewCache(sameRow, i.d.maxWait, func(ctx context.Context, after int64) (platform.Page, error) {
+		return store.Changes(ctx, table, after, 0)
+	})
+	i.server = &Server{Tables: map[string]*Cache{table: cache}, Draining: func() bool { return false }, Log: zerolog.Nop()}
 	processCtx := i.processCtx
 	reader := &PeerReader{Table: table, WantsAsOf: true, Selector: i.selector, Cache: cache, Log: zerolog.Nop(),
 		Dial: func(ctx context.Context, addr string) (Conn, error) { return i.dial(ctx, processCtx, addr) }}
@@ -322,6 +370,7 @@
 	}
 	d := r.i.d
 	d.mu.Lock()
+	d.wholeReads++
 	p := platform.Page{Version: d.version}
 	for _, row := range d.stored {
 		p.Rows = append(p.Rows, row)
--- a/relay/store_reader.go
+++ b/relay/store_reader.go
@@ -11,12 +11,14 @@
 	"github.com/ragworthitch/ragworthitch/platform"
 )
 
-// errNotCached makes the caller read the whole table, which the cache needs when
-// peers begin to ask for it.
-var errNotCached = errors.New("relay: table is not cached")
+var (
+	// errNotCached makes the caller read the whole table, which the cache needs.
+	errNotCached = errors.New("relay: table is not cached")
+	// errQuestioned ends a long call for changes when peers begin to ask for the table.
+	errQuestioned = errors.New("relay: peers have begun to ask this instance")
+)
 
-// StoreReader reads a table from the store, and keeps the rows in Cache while peers ask
-// for the table.
+// StoreReader reads a table from the store and keeps the rows in Cache.
 type StoreReader struct {
 	Store platform.Reader
 	Cache *Cache
@@ -26,24 +28,21 @@
 func (s StoreReader) ReadAll(ctx context.Context, r platform.Range) (platform.Page, error) {
 	start := clock.Now()
 	p, err := s.Store.ReadAll(ctx, r)
-	if servesPeers, _ := s.Cache.ServesPeers(start); !servesPeers {
-		s.Cache.Clear()
-	} else if err != nil {
+	if err != nil {
 		s.Cache.StoreFailed(clock.Now())
-	} else {
-		s.Cache.Replace(p.Rows, p.Version, start)
+		return p, err
 	}
-	return p, err
+	s.Cache.Replace(p.Rows, p.Version, start)
+	return p, nil
 }
 
-// Changes waits for changed rows. Its error wraps discovery.ErrChangesMissed if peers
-// have begun to ask for the table and the cache does not hold the table yet.
+// Changes waits for changed rows. Its error wraps discovery.ErrChangesMissed if the cache
+// does not hold the table as of the version, and discovery.ErrInterrupted if peers have
+// begun to ask for the table, which they expect within a shorter wait.
 func (s StoreReader) Changes(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error) {
 	start := clock.Now()
 	servesPeers, questioned := s.Cache.ServesPeers(start)
-	if !servesPeers {
-		s.Cache.Clear()
-	} else if !s.Cache.IsLoaded() {
+	if !s.Cache.covers(after) {
 		return platform.Page{}, fmt.Errorf("%w: %w", discovery.ErrChangesMissed, errNotCached)
 	}
 	if servesPeers {
@@ -55,7 +54,7 @@
 		go func() {
 			select {
 			case <-questioned:
-				cancel(errNotCached)
+				cancel(errQuestioned)
 			case <-ctx.Done():
 			}
 		}()
@@ -67,11 +66,11 @@
 	}
 	p, err := s.Store.Changes(ctx, table, after, wait)
 	switch {
-	case err == nil && servesPeers:
+	case err == nil:
 		s.Cache.Apply(p.Rows, p.Version, start)
-	case err != nil && errors.Is(context.Cause(ctx), errNotCached):
-		return platform.Page{}, fmt.Errorf("%w: %w", discovery.ErrChangesMissed, errNotCached)
-	case err != nil:
+	case errors.Is(context.Cause(ctx), errQuestioned):
+		return platform.Page{}, fmt.Errorf("%w: %w", discovery.ErrInterrupted, errQuestioned)
+	default:
 		s.Cache.StoreFailed(clock.Now())
 	}
 	return p, err
