relay: the fastest links are asked first, and answers are as large as link and zone allow

Cause: an answer of more than 64 kB was not given, so that every instance read a desired state of that size from the store itself: calls and bytes of each change grew with the number of instances. The limit was made for the slowest links, and the first instance of a zone was any of them. In a zone of 200 such instances 64 kB would already take 5 s. Change: an instance's entry states the rate of its link, which the settings give; the fastest of a zone come first in the order in which instances are asked; an answer may be as large as the link can send to the whole zone within a second. Ruled out for now: a tree of instances that pass answers on, which needs no fast link, but adds the time of a failed instance at each level to the age of the table.

--- a/instance/follow.go
+++ b/instance/follow.go
@@ -85,10 +85,16 @@
 	return i.peers.Peers()
 }
 
+// self returns the entry of this instance.
+func (i *Instance) self() exchange.Peer {
+	return exchange.Peer{Node: i.settings.Node(), Zone: i.settings.Zone(), Addr: i.settings.Internal(), Rate: i.settings.LinkRate()}
+}
+
 // followTables starts the followers of the operator's, the targets' and the instances'
 // tables.
 func (i *Instance) followTables(p *pool.ContextPool) {
-	peerSelector := relay.NewPeerSelector(i.settings.Node(), i.settings.Zone(), i.reachablePeers)
+	peerSelector := relay.NewPeerSelector(i.self(), i.reachablePeers)
+	i.relay.LinkRate, i.relay.ZoneSize = i.settings.LinkRate(), peerSelector.ZoneSize
 	storeReader := func(table string) relay.StoreReader {
 		return relay.StoreReader{Store: i.store, Cache: i.relay.Tables[table]}
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -229,7 +229,7 @@
 
 // announce writes this instance's entry to the store.
 func (i *Instance) announce(ctx context.Context) error {
-	self := exchange.Peer{Node: i.settings.Node(), Zone: i.settings.Zone(), Addr: i.settings.Internal()}
+	self := i.self()
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := platform.Announce(writeCtx, i.store, self)
--- a/relay/peer_selector.go
+++ b/relay/peer_selector.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -32,8 +33,8 @@
 type (
 	// PeerSelector selects the peer of the zone to ask. Create it with NewPeerSelector.
 	PeerSelector struct {
-		node, zone string
-		peers      func() []exchange.Peer
+		self  exchange.Peer
+		peers func() []exchange.Peer
 
 		mu       sync.Mutex
 		backoffs map[string]peerBackoff // by node
@@ -46,10 +47,10 @@
 	}
 )
 
-// NewPeerSelector returns the selector of the instance node. peers returns the peers
+// NewPeerSelector returns the selector of the instance self. peers returns the peers
 // that the instance knows.
-func NewPeerSelector(node, zone string, peers func() []exchange.Peer) *PeerSelector {
-	return &PeerSelector{node: node, zone: zone, peers: peers, backoffs: map[string]peerBackoff{}}
+func NewPeerSelector(self exchange.Peer, peers func() []exchange.Peer) *PeerSelector {
+	return &PeerSelector{self: self, peers: peers, backoffs: map[string]peerBackoff{}}
 }
 
 // Next returns the peer to ask. ok is false if this instance should read from the
@@ -59,7 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range ranked[:min(maxCandidates, len(ranked))] {
-		if p.Node == s.node {
+		if p.Node == s.self.Node {
 			return exchange.Peer{}, false
 		}
 		if now >= s.backoffs[p.Node].until {
@@ -70,28 +71,23 @@
 }
 
 // ranked returns the instances of the zone, with this one, in the order in which they
-// are asked. The order is the same at all instances, and whether one instance precedes
+// are asked: those with the fastest links first, since the first one sends every change to
+// the whole zone. The order is the same at all instances, and whether one instance precedes
 // another does not depend on the rest.
 func (s *PeerSelector) ranked() []exchange.Peer {
-	all := []exchange.Peer{{Node: s.node, Zone: s.zone}}
+	all := []exchange.Peer{s.self}
 	for _, p := range s.peers() {
-		if p.Zone == s.zone {
+		if p.Zone == s.self.Zone {
 			all = append(all, p)
 		}
 	}
-	key := route.Key(s.zone)
+	key := route.Key(s.self.Zone)
 	rank := make(map[string]float64, len(all))
 	for _, p := range all {
 		rank[p.Node] = route.Affinity(key, p.Node)
 	}
 	slices.SortFunc(all, func(a, b exchange.Peer) int {
-		switch {
-		case rank[a.Node] > rank[b.Node]:
-			return -1
-		case rank[a.Node] < rank[b.Node]:
-			return 1
-		}
-		return 0
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(rank[b.Node], rank[a.Node]))
 	})
 	return all
 }
@@ -103,7 +99,7 @@
 // backoff is shortest for the instance that its zone asks first: the other instances
 // learn from it that the store is available again.
 func (s *PeerSelector) Backoff() time.Duration {
-	if s.ranked()[0].Node == s.node {
+	if s.ranked()[0].Node == s.self.Node {
 		return minOutageBackoff
 	}
 	n := len(s.peers()) + 1
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,12 +16,17 @@
 	// instance reads the table from the store for the first time.
 	firstReadTimeout = 300 * time.Millisecond
 	// idleTimeout closes a connection without questions.
-	idleTimeout = 60 * time.Second
+	idleTimeout     = 60 * time.Second
+	bytesPerMegabit = 1_000_000 / 8
 	// sendTimeout bounds the sending of an answer.
 	sendTimeout = 2 * time.Second
-	// maxAnswerSize bounds the rows of an answer in bytes. On the smallest machines
-	// (20 Mbit/s) larger answers would delay those to the rest of the zone.
-	maxAnswerSize = 64 << 10
+	// An answer may be as large as this machine's link can send to the whole zone within
+	// maxFanOutTime; a larger one would delay the answers to the rest of the zone.
+	// defaultAnswerSize applies if the link's rate is unknown, and maxAnswerSize at most,
+	// both in bytes of rows.
+	maxFanOutTime     = time.Second
+	defaultAnswerSize = 64 << 10
+	maxAnswerSize     = 512 << 10
 )
 
 // Server answers peers that ask for tables.
@@ -33,9 +38,20 @@
 	// SaveLocations receives the cache locations that peers send along with questions,
 	// to write them to the store; nil: they are dropped.
 	SaveLocations func(locations []wire.CacheLocation)
+	LinkRate      int        // data rate of this machine's link in Mbit/s; 0: unknown
+	ZoneSize      func() int // number of instances in the zone; nil: one
 	Log           zerolog.Logger
 }
 
+// answerLimit returns the bound on the rows of an answer in bytes.
+func (s *Server) answerLimit() int {
+	if s.LinkRate == 0 || s.ZoneSize == nil {
+		return defaultAnswerSize
+	}
+	bytesInTime := s.LinkRate * bytesPerMegabit * int(maxFanOutTime/time.Second)
+	return min(bytesInTime/s.ZoneSize(), maxAnswerSize)
+}
+
 // ServeHTTP answers the questions of a peer until its connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, err := wire.AcceptTable(w, r)
@@ -87,7 +103,7 @@
 		if a.State == wire.AnswerMissed && c.extendHistory(ctx, q.After) {
 			a, isNew, updated = c.answer(q, received, knownAsOf)
 		}
-		if rowsSize(a) > maxAnswerSize {
+		if rowsSize(a) > s.answerLimit() {
 			return wire.Answer{State: wire.AnswerTooLarge}
 		}
 		if isNew || s.Draining() {
