instance: fewer calls to the store when many instances start

Change: an instance that finds its own entry unchanged does not write it; when the whole deployment starts for the first time, entries are written over 2 s, cache locations are not loaded, and the tables of targets and instances are not polled until then.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -99,6 +99,9 @@
 		MaxWait        time.Duration // how long a call waits for changes
 		MinInterval    time.Duration // minimum time between the starts of two calls
 		RereadInterval time.Duration // interval of reads of the whole table; 0: never
+		// FirstPollDelay follows the first call to Source. It leaves time to find peers
+		// that can be asked instead.
+		FirstPollDelay time.Duration
 		// Recovery is shared with the other followers of the store; nil: not shared.
 		// With AwaitsRecovery, this follower waits for another follower's successful
 		// call after two failed calls of its own.
@@ -141,6 +144,10 @@
 			continue
 		}
 		clock.Sleep(ctx, f.nextDelay(err, clock.Now().Sub(start)))
+		if err == nil {
+			clock.Sleep(ctx, f.FirstPollDelay)
+			f.FirstPollDelay = 0
+		}
 	}
 	return nil
 }
--- a/discovery/follow_test.go
+++ b/discovery/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -154,3 +155,23 @@
 	require.NoError(t, f.Run(ctx))
 	assert.Equal(t, []int{10, 20}, s.rows)
 }
+
+// A follower that may find peers to ask waits for them once, after it has read the table,
+// and not again.
+func TestFirstPollDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var calledAt []time.Duration
+		s := &scriptedStore{cancel: cancel}
+		for range 4 {
+			s.answers = append(s.answers, func(context.Context) ([]int, int64, error) {
+				calledAt = append(calledAt, time.Since(start))
+				return nil, 1, nil
+			})
+		}
+		f := &Follower[int]{Name: "t", Source: s, Sink: s, Log: zerolog.Nop(), MinInterval: 100 * time.Millisecond, FirstPollDelay: 2 * time.Second}
+		assert.NoError(t, f.Run(ctx))
+		assert.Equal(t, []time.Duration{0, 2100 * time.Millisecond, 2200 * time.Millisecond, 2300 * time.Millisecond}, calledAt)
+	})
+}
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -117,14 +117,32 @@
 		Source:  platform.TargetTable{Reader: storeReader(platform.TableTargets), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.TargetRow]{platform.TargetTable{Reader: targetReader, Unreadable: i.unreadable}, targetReader},
 		Sink:    targetSink,
-		MaxWait: targetWait, MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: targetWait, FirstPollDelay: i.firstPollDelay(), MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
 
 	instanceReader := newReader(platform.TableInstances, false)
 	p.Go((&discovery.Follower[discovery.InstanceRow]{Name: platform.TableInstances, Log: i.log,
 		Source:  platform.InstanceTable{Reader: storeReader(platform.TableInstances), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.InstanceRow]{platform.InstanceTable{Reader: instanceReader, Unreadable: i.unreadable}, instanceReader},
-		Sink:    discovery.InstanceSink{Exchange: i.peers, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, OnRead: func() { i.instancesRead.Store(true) }},
-		MaxWait: peerWait, MinInterval: peerPollInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+		Sink:    discovery.InstanceSink{Exchange: i.peers, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, OnRead: i.recordInstancesRead},
+		MaxWait: peerWait, FirstPollDelay: i.firstPollDelay(), MinInterval: peerPollInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+}
+
+// firstPollDelay returns how long this instance waits for the entries of the others before
+// it polls the store for changes of a table that it has read.
+func (i *Instance) firstPollDelay() time.Duration {
+	if i.settings.FirstStart() {
+		return firstAnnounceTime
+	}
+	return 0
+}
+
+// recordInstancesRead records that the whole table of instances has been read. At a restart
+// the table is complete; when the deployment starts for the first time, the other
+// instances are still writing their entries.
+func (i *Instance) recordInstancesRead() {
+	if !i.instancesRead.Swap(true) && !i.settings.FirstStart() {
+		i.peers.Settle()
+	}
 }
 
 // relayedTable is a table that is read from peers.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -60,6 +61,9 @@
 	// announceTimeout bounds a write of this instance's entry or a call for cache
 	// locations, and is the delay after a failed one.
 	announceTimeout = time.Second
+	// firstAnnounceTime keeps the entries of many instances within the number of writes
+	// that the store accepts in a second.
+	firstAnnounceTime = 2 * time.Second
 
 	metricsPath = "/metrics"
 
@@ -227,9 +231,16 @@
 	p.Go(i.announce)
 }
 
-// announce writes this instance's entry to the store.
+// announce writes this instance's entry to the store, unless the entry that an earlier
+// process wrote is still there. When the whole deployment starts for the first time, the
+// writes are spread over firstAnnounceTime.
 func (i *Instance) announce(ctx context.Context) error {
 	self := i.self()
+	if i.settings.FirstStart() {
+		clock.Sleep(ctx, rand.N(firstAnnounceTime))
+	} else if i.peers.AwaitOwnEntry(ctx, announceTimeout) == self {
+		return nil
+	}
 	for ctx.Err() == nil {
 		writeCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := platform.Announce(writeCtx, i.store, self)
--- a/instance/locations.go
+++ b/instance/locations.go
@@ -103,7 +103,7 @@
 // that still hold their KV caches.
 func (i *Instance) persistLocations(ctx context.Context) error {
 	table := platform.CacheLocationTable{Store: i.store, Unreadable: i.unreadable}
-	for !i.loadLocations(ctx, table) {
+	for !i.settings.FirstStart() && !i.loadLocations(ctx, table) {
 		if !clock.Sleep(ctx, announceTimeout) {
 			return nil
 		}
