registry: adding a target costs the same whatever the number of targets

Cause: two terms that grow with the square of the number of targets when the table is read whole: the list of a service was copied for each target added to it, and beyond 8,192 targets each one searched all recorded ended boots for one to forget. Change: lists of services are copied when they are read after a change; the end of a boot is recorded when its target is dropped, not when it is added, and forgotten in that order.

--- a/registry/boots.go
+++ b/registry/boots.go
@@ -13,8 +13,9 @@
 	// others of its service and zone. It equals health's recentFailure.
 	staleRegistrationAge = 4 * time.Second
 
-	// maxEndedBoots limits the targets whose ended boots are recorded. After an
-	// eviction, a late registration of an ended boot costs one refused connection.
+	// maxEndedBoots limits the targets whose ended boots are recorded, besides those that
+	// precede the boots of known targets. After an eviction, a late registration of an
+	// ended boot costs one refused connection.
 	maxEndedBoots = 8192
 
 	// maxWriteDelay is the time for which delayed writes of an ended boot may arrive
@@ -79,15 +80,26 @@
 }
 
 func (r *Registry) setEnded(id string, e endedBoots) {
-	if len(r.ended) >= maxEndedBoots {
-		for old := range r.ended {
-			if r.byID[old] == nil {
-				delete(r.ended, old)
-				break
-			}
-		}
+	if _, ok := r.ended[id]; !ok {
+		r.endedOrder = append(r.endedOrder, id)
 	}
 	r.ended[id] = e
+	for len(r.ended) > maxEndedBoots {
+		delete(r.ended, r.endedOrder[0])
+		r.endedOrder = r.endedOrder[1:]
+	}
+	if len(r.endedOrder) > 2*maxEndedBoots {
+		r.endedOrder = slices.DeleteFunc(r.endedOrder, func(id string) bool {
+			_, ok := r.ended[id]
+			return !ok
+		})
+	}
+}
+
+// hasEnded reports whether the boot of a target that started at a time has ended. m is the
+// known boot of the target; nil: none. r.mu is held.
+func (r *Registry) hasEnded(id string, started int64, m *Member) bool {
+	return r.ended[id].includes(started) || m != nil && started < m.Target().Boot().Started()
 }
 
 // EndMismatched records that the address of a target answered for another target: the
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -46,8 +46,9 @@
 		mu                 sync.RWMutex
 		byID               map[string]*Member
 		byAddr             map[string]*Member // the newest at each address
-		services           map[string][]*Member
+		services           map[string]*serviceMembers
 		ended              map[string]endedBoots        // by id
+		endedOrder         []string                     // ids in ended, and some that are no more, oldest first
 		lateRegistrations  map[string]lateRegistration  // by id
 		staleRegistrations map[serviceZone][]clock.Time // times at which they were found
 
@@ -144,10 +145,11 @@
 	if m == nil && started == 0 && r.mostStateStart() {
 		return Ignored
 	}
-	if r.ended[t.ID()].includes(started) {
-		if !r.provesAlive(t) {
-			return Ignored
-		}
+	aliveAgain := r.hasEnded(t.ID(), started, m)
+	if aliveAgain && !r.provesAlive(t) {
+		return Ignored
+	}
+	if aliveAgain {
 		delete(r.ended, t.ID())
 	}
 	delete(r.lateRegistrations, t.ID())
@@ -170,6 +172,9 @@
 		r.retire(m, successorStarted)
 		outcome = Restarted
 	}
+	if aliveAgain {
+		delete(r.ended, t.ID()) // retire has recorded its earlier boots
+	}
 	r.add(t, maxConns)
 	return outcome
 }
@@ -196,7 +201,7 @@
 func (r *Registry) makeMaps() {
 	if r.byID == nil {
 		r.byID, r.byAddr = map[string]*Member{}, map[string]*Member{}
-		r.services, r.ended = map[string][]*Member{}, map[string]endedBoots{}
+		r.services, r.ended = map[string]*serviceMembers{}, map[string]endedBoots{}
 		r.staleRegistrations, r.lateRegistrations = map[serviceZone][]clock.Time{}, map[string]lateRegistration{}
 	}
 }
@@ -210,26 +215,9 @@
 	m.life, m.end = context.WithCancelCause(context.Background())
 	m.work.onChange = func(busy bool) { r.setBusy(m, busy) }
 	r.byID[t.ID()], r.byAddr[t.Address()] = m, m
-	r.endEarlierBoots(t.Boot())
 	r.addToServices(m)
 }
 
-// addToServices adds m to the lists of its services; r.mu is held.
-func (r *Registry) addToServices(m *Member) {
-	for _, s := range m.Target().Services() {
-		if !slices.Contains(r.services[s], m) {
-			r.services[s] = append(slices.Clone(r.services[s]), m)
-		}
-	}
-}
-
-// removeFromServices removes m from the lists of its services; r.mu is held.
-func (r *Registry) removeFromServices(m *Member) {
-	for _, s := range m.Target().Services() {
-		r.services[s] = slices.DeleteFunc(slices.Clone(r.services[s]), func(o *Member) bool { return o == m })
-	}
-}
-
 // update applies a newer registration of a known boot; r.mu is held.
 func (r *Registry) update(m *Member, t ragworthitch.Target, maxConns int) Outcome {
 	known := m.Target()
@@ -340,6 +328,7 @@
 		return
 	}
 	delete(r.byID, t.ID())
+	r.endEarlierBoots(t.Boot())
 	if r.byAddr[t.Address()] == m {
 		delete(r.byAddr, t.Address())
 	}
@@ -394,13 +383,6 @@
 	return out
 }
 
-// Service returns the targets of a service. The caller must not modify the slice.
-func (r *Registry) Service(name string) []*Member {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.services[name]
-}
-
 // ByID returns the known boot of the target with the given id, or nil.
 func (r *Registry) ByID(id string) *Member {
 	r.mu.RLock()
