ingress: a call that arrives just before the instance is ready waits for it

Cause: after all instances of the fleet were killed, calls that reached an instance between the opening of its listener and its first read of the desired state (0.2 to 0.3 s) were rejected with 503. A caller that has lost its stream has one retry, so that most were lost for good. Change: a call waits until the desired state and the tables are read, at most a second and a fifth of the caller's timeout; then it is rejected as before. A store that cannot be reached makes them wait that long.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -26,6 +26,13 @@
 	"github.com/ragworthitch/ragworthitch/route"
 )
 
+// maxStartWait and startWaitShare of the caller's timeout bound how long a call waits for
+// the start of this instance.
+const (
+	maxStartWait   = time.Second
+	startWaitShare = 0.2
+)
+
 // Retry-After of rejected calls, by cause. Each value is varied by 25 % up or down, so
 // that rejected callers do not retry at the same moment.
 const (
@@ -61,6 +68,7 @@
 		rollouts       *rollout.Tracker
 		claimProbe     func(ctx context.Context, p poison.Probe) bool
 		isReady        func() bool
+		started        <-chan struct{}
 		links          health.Links  // packet loss on the link to each zone
 		paces          pace.Services // measured paces of the engines of each service
 		targetMemory   health.Memory // sizes of bodies that targets can hold
@@ -85,11 +93,12 @@
 		CacheLocations *cachelocation.Table
 		RetryBudget    *budget.Budget
 		Sender         Sender
-		Engines        EnginePolicy  // nil: route.Engines
-		FixedPace      *pace.Pace    // fixed pace of all services, for comparisons; nil: the measured pace
-		TargetWait     time.Duration // how long an interrupted stream waits for an available target
-		Ready          func() bool   // reports whether this instance should get calls; nil: always
-		NotifyPeers    func()        // sends this instance's load and reports to its peers; nil: no peers
+		Engines        EnginePolicy    // nil: route.Engines
+		FixedPace      *pace.Pace      // fixed pace of all services, for comparisons; nil: the measured pace
+		TargetWait     time.Duration   // how long an interrupted stream waits for an available target
+		Ready          func() bool     // reports whether this instance should get calls; nil: always
+		Started        <-chan struct{} // closed when this instance knows what it needs to serve calls; nil: it does
+		NotifyPeers    func()          // sends this instance's load and reports to its peers; nil: no peers
 		// BorrowRetries requests retries of a service from peers for the retry budget and
 		// returns when the requests have completed; nil: no peers.
 		BorrowRetries func(ctx context.Context, service string)
@@ -134,7 +143,12 @@
 	if cfg.Ready == nil {
 		cfg.Ready = func() bool { return true }
 	}
-	return &Handler{notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
+	if cfg.Started == nil {
+		started := make(chan struct{})
+		close(started)
+		cfg.Started = started
+	}
+	return &Handler{started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
 		rollouts: cfg.Rollouts, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
 		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
@@ -162,6 +176,7 @@
 		// Makes the caller open its next connection to another instance.
 		w.Header().Set("Connection", "close")
 	}
+	h.awaitStart(ctx, call)
 	now := clock.Now()
 	grant, err := h.desiredState.Judge(now, call.Host, call.Path, call.Key, rand.Float64())
 	if err != nil {
@@ -215,6 +230,32 @@
 	return complete
 }
 
+// awaitStart holds a call that arrives before this instance knows the desired state and the
+// targets. They are usually known a fraction of a second after the start, while a caller
+// that is rejected comes back later, and not at all if this was its last retry.
+func (h *Handler) awaitStart(ctx context.Context, call *Call) {
+	select {
+	case <-h.started:
+		return
+	default:
+	}
+	maxWait := maxStartWait
+	if call.Timeout > 0 {
+		maxWait = min(maxWait, time.Duration(startWaitShare*float64(call.Timeout)))
+	}
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	arrived, inTime := clock.Now(), true
+	select {
+	case <-h.started:
+	case <-timer.C:
+		inTime = false
+	case <-ctx.Done():
+		inTime = false
+	}
+	h.log.Info().Str("request", call.ID).Dur("waited", clock.Now().Sub(arrived)).Bool("started", inTime).Msg("ingress: call waited for the start")
+}
+
 // deny answers a call that the desired state does not allow or that cannot be checked at
 // the moment.
 func (h *Handler) deny(w http.ResponseWriter, call *Call, grant desired.Grant, err error) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -65,6 +65,10 @@
 	// that the store accepts in a second.
 	firstAnnounceTime = 2 * time.Second
 
+	// startCheckInterval is how often a starting instance checks whether it has read all
+	// tables.
+	startCheckInterval = 10 * time.Millisecond
+
 	metricsPath = "/metrics"
 
 	readHeaderTimeout = 5 * time.Second
@@ -102,6 +106,7 @@
 	bodyMemory     *admit.Memory // limit on the bodies of calls in progress
 	targetsRead    atomic.Bool   // the table of targets has been read
 	instancesRead  atomic.Bool   // the table of instances, with crash records, has been read
+	started        chan struct{} // closed when the desired state and all tables have been read
 }
 
 // New returns an instance with the platform's settings. metrics is served on
@@ -111,7 +116,7 @@
 		debug.SetMemoryLimit(int64(heapFraction * float64(settings.Memory())))
 	}
 	bounds := settings.Bounds()
-	i := &Instance{startedAt: clock.Now(), settings: settings, log: log, store: platform.NewStore(settings.Store()), metrics: metrics, unreadable: platform.NewUnreadableRows(log, scope),
+	i := &Instance{startedAt: clock.Now(), started: make(chan struct{}), settings: settings, log: log, store: platform.NewStore(settings.Store()), metrics: metrics, unreadable: platform.NewUnreadableRows(log, scope),
 		desiredState: desired.NewTracker(desired.Ages{Reject: scale(rejectAgeFraction, bounds.Config), Key: scale(keyAgeFraction, bounds.Revoke)})}
 	i.bodyMemory = admit.NewMemory(int64(bodyFraction * float64(settings.Memory())))
 	i.poisonTracker.Log, i.poisonTracker.Scope = log, scope
@@ -124,7 +129,7 @@
 	i.budget = budget.New(budget.Limit{Ratio: bounds.BudgetRatio, Extra: bounds.BudgetExtra, Window: bounds.BudgetWindow}, i.peers.InstanceCount)
 	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Budget: i.budget, Log: log}
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
-		Sender: platform.Sender{}, Ready: i.Ready, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, ClaimProbe: i.claimProbe,
+		Sender: platform.Sender{}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, ClaimProbe: i.claimProbe,
 		AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
 	return i
 }
@@ -155,6 +160,7 @@
 	defer stop()
 	p := pool.New().WithContext(lifetime).WithCancelOnError()
 	i.followTables(p)
+	p.Go(i.signalStart)
 	p.Go(i.persistLocations)
 	p.Go(i.persistCrashes)
 	p.Go(i.runRollouts)
@@ -178,6 +184,18 @@
 	return nil
 }
 
+// signalStart closes i.started when this instance knows what it needs to serve calls.
+func (i *Instance) signalStart(ctx context.Context) error {
+	for clock.Sleep(ctx, startCheckInterval) {
+		if i.desiredState.State() != nil && i.targetsRead.Load() && i.instancesRead.Load() {
+			i.log.Info().Dur("after", clock.Now().Sub(i.startedAt)).Msg("instance: desired state and tables read")
+			close(i.started)
+			break
+		}
+	}
+	return nil
+}
+
 func listen(audience, addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
