relay: an answer to a peer takes as long as it has rows, not as long as the table

Cause: each answer, and each look whether there is one, went through all rows of the table: for the first instance of a zone, instances of the zone times rows, several times a second. Change: the cache keeps the order in which rows are sent, and starts at the peer's version.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,9 @@
 	// the asking peer waits.
 	historyTimeout = 250 * time.Millisecond
 
+	// minSends is the number of entries of Cache.sends below which obsolete ones stay.
+	minSends = 64
+
 	// tombstoneTime is how long a deleted row is kept. A peer whose table is
 	// older has to read the whole table.
 	tombstoneTime = 60 * time.Second
@@ -57,6 +61,7 @@
 
 		mu            sync.Mutex
 		rows          map[string]*cachedRow // by key; nil: the table is not loaded
+		sends         []sendEntry           // of all rows, by version; older entries of a row are obsolete
 		version       int64                 // version up to which the table is complete
 		minVersion    int64                 // deletions after this version are known
 		asOf          clock.Time            // time up to which the table is complete
@@ -69,6 +74,13 @@
 		questioned    chan struct{}         // closed at the next question, if no peer asks now
 	}
 
+	// sendEntry says that peers before a version are sent the row with a key. It is obsolete
+	// if the row's sendVersion differs.
+	sendEntry struct {
+		version int64
+		key     string
+	}
+
 	// cachedRow holds the newest write of a row.
 	cachedRow struct {
 		row           platform.StoredRow
@@ -156,6 +168,9 @@
 			c.putRow(r, version)
 		}
 	}
+	if first {
+		c.sortSends()
+	}
 	for key, cached := range c.rows {
 		if !present[key] && !cached.row.Deleted {
 			c.putRow(platform.StoredRow{RowID: cached.row.RowID, Version: version, Deleted: true}, version)
@@ -220,8 +235,10 @@
 	for _, r := range changes {
 		if c.rows[r.Key] == nil && r.Deleted {
 			c.rows[r.Key] = &cachedRow{row: r, sendVersion: r.Version, sendVersionAt: now, changedAt: now}
+			c.sends = append(c.sends, sendEntry{r.Version, r.Key})
 		}
 	}
+	c.sortSends()
 	c.minVersion = min(c.minVersion, after)
 }
 
@@ -252,12 +269,44 @@
 	}
 	if cached == nil || !c.unchanged(cached.row, r) {
 		c.rows[r.Key] = &cachedRow{row: r, sendVersion: version, sendVersionAt: now, changedAt: now}
+		c.sends = append(c.sends, sendEntry{version, r.Key})
 		c.hasChanges = true
 		return
 	}
 	cached.row = r
 	if now.Sub(cached.changedAt) < settlePeriod || now.Sub(cached.sendVersionAt) >= unchangedInterval {
 		cached.sendVersion, cached.sendVersionAt = version, now
+		c.sends = append(c.sends, sendEntry{version, r.Key})
+	}
+}
+
+// sortSends puts c.sends in order after entries of earlier versions were added. The caller
+// holds c.mu.
+func (c *Cache) sortSends() {
+	slices.SortStableFunc(c.sends, func(a, b sendEntry) int { return cmp.Compare(a.version, b.version) })
+}
+
+// dropObsoleteSends removes obsolete entries of c.sends once they are most of it. The caller
+// holds c.mu.
+func (c *Cache) dropObsoleteSends() {
+	if len(c.sends) <= 2*len(c.rows)+minSends {
+		return
+	}
+	c.sends = slices.DeleteFunc(c.sends, func(e sendEntry) bool {
+		cached := c.rows[e.key]
+		return cached == nil || cached.sendVersion != e.version
+	})
+}
+
+// sentAfter returns the rows that peers at a version are sent. The caller holds c.mu.
+func (c *Cache) sentAfter(after int64) iter.Seq[*cachedRow] {
+	first, _ := slices.BinarySearchFunc(c.sends, after+1, func(e sendEntry, version int64) int { return cmp.Compare(e.version, version) })
+	return func(yield func(*cachedRow) bool) {
+		for _, e := range c.sends[first:] {
+			if cached := c.rows[e.key]; cached != nil && cached.sendVersion == e.version && !yield(cached) {
+				return
+			}
+		}
 	}
 }
 
@@ -269,6 +318,7 @@
 	}
 	c.version, c.asOf = max(c.version, version), max(c.asOf, asOf)
 	c.dropTombstones(clock.Now())
+	c.dropObsoleteSends()
 	if c.wantsAsOf || c.hasChanges {
 		c.notify()
 	}
@@ -314,8 +364,8 @@
 // changedSince reports whether a row has changed after a version, other than by a
 // heartbeat. The caller holds c.mu.
 func (c *Cache) changedSince(after int64) bool {
-	for _, cached := range c.rows {
-		if cached.sendVersion > after && cached.sendVersionAt == cached.changedAt {
+	for cached := range c.sentAfter(after) {
+		if cached.sendVersionAt == cached.changedAt {
 			return true
 		}
 	}
@@ -326,9 +376,18 @@
 // The caller holds c.mu.
 func (c *Cache) rowsFor(q wire.Question) []wire.TableRow {
 	var out []wire.TableRow
-	for _, cached := range c.rows {
-		if q.Whole && !cached.row.Deleted || !q.Whole && cached.sendVersion > q.After {
-			out = append(out, wire.TableRow{Key: cached.row.Key, Value: cached.row.Value, Version: cached.row.Version, Deleted: cached.row.Deleted, Unreadable: cached.row.Err != nil})
+	add := func(cached *cachedRow) {
+		out = append(out, wire.TableRow{Key: cached.row.Key, Value: cached.row.Value, Version: cached.row.Version, Deleted: cached.row.Deleted, Unreadable: cached.row.Err != nil})
+	}
+	if q.Whole {
+		for _, cached := range c.rows {
+			if !cached.row.Deleted {
+				add(cached)
+			}
+		}
+	} else {
+		for cached := range c.sentAfter(q.After) {
+			add(cached)
 		}
 	}
 	slices.SortFunc(out, func(a, b wire.TableRow) int { return cmp.Compare(a.Version, b.Version) })
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -103,3 +104,50 @@
 	}
 	return out
 }
+
+// BenchmarkAnswer measures an answer to a peer that knows all but the last few changes of a
+// table whose rows are written all the time.
+func BenchmarkAnswer(b *testing.B) {
+	for _, n := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint("rows=", n), func(b *testing.B) {
+			cache := loadedCache(n)
+			q := wire.Question{After: int64(n) - 3}
+			for b.Loop() {
+				cache.answer(q, clock.Now(), 0)
+			}
+		})
+	}
+}
+
+// loadedCache returns a cache of a table of n rows, whose versions are 1 to n.
+func loadedCache(n int) *Cache {
+	cache := NewCache(sameRow, time.Hour, nil)
+	rows := make([]platform.StoredRow, n)
+	for i := range rows {
+		rows[i] = platform.StoredRow{RowID: platform.RowID{Table: table, Key: fmt.Sprint("k", i)}, Value: []byte("1:0"), Version: int64(i + 1)}
+	}
+	cache.Replace(rows[:1], 1, clock.Now())
+	cache.Apply(rows, int64(n), clock.Now())
+	return cache
+}
+
+// Guards against answers that take longer the more rows the table has: an instance answers
+// its whole zone, and both grow with the deployment.
+func TestAnswerTimeDoesNotGrowWithTable(t *testing.T) {
+	const small, large, maxGrowth, answers = 300, 12000, 8, 200
+	timePerAnswer := func(n int) time.Duration {
+		cache, best := loadedCache(n), time.Duration(0)
+		for range 5 {
+			start := time.Now()
+			for range answers {
+				cache.answer(wire.Question{After: int64(n) - 3}, clock.Now(), 0)
+			}
+			if took := time.Since(start) / answers; best == 0 || took < best {
+				best = took
+			}
+		}
+		return best
+	}
+	few, many := timePerAnswer(small), timePerAnswer(large)
+	assert.Less(t, many, maxGrowth*few, "%v with %d rows, %v with %d", many, large, few, small)
+}
