discovery, instance: an empty table is read once, and no table is polled before the peers are known

Cause: a table at version 0 (nothing written yet) counted as not read, so that each instance read it again; and at the first start of all, the desired state was polled five times, and the tables two or three times, until the entries of the others were written and settled. Change: whether a table was read is kept apart from its version; the delay of the first poll counts from the first read, holds for the desired state too, and ends after the peers are known.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -99,8 +99,8 @@
 		MaxWait        time.Duration // how long a call waits for changes
 		MinInterval    time.Duration // minimum time between the starts of two calls
 		RereadInterval time.Duration // interval of reads of the whole table; 0: never
-		// FirstPollDelay follows the first call to Source. It leaves time to find peers
-		// that can be asked instead.
+		// FirstPollDelay is the least time from the first call to Source to the next one. It
+		// leaves time to find peers that can be asked instead.
 		FirstPollDelay time.Duration
 		// Recovery is shared with the other followers of the store; nil: not shared.
 		// With AwaitsRecovery, this follower waits for another follower's successful
@@ -111,6 +111,7 @@
 		MaxBackoff func() time.Duration
 		Log        zerolog.Logger
 
+		loaded        bool // the whole table has been read, and no changes were missed since
 		version       int64
 		lastFullRead  clock.Time
 		failures      int
@@ -143,11 +144,12 @@
 			f.Recovery.wait(ctx)
 			continue
 		}
-		clock.Sleep(ctx, f.nextDelay(err, clock.Now().Sub(start)))
+		delay := f.nextDelay(err, clock.Now().Sub(start))
 		if err == nil {
-			clock.Sleep(ctx, f.FirstPollDelay)
+			delay = max(delay, f.FirstPollDelay)
 			f.FirstPollDelay = 0
 		}
+		clock.Sleep(ctx, delay)
 	}
 	return nil
 }
@@ -169,7 +171,7 @@
 	if f.viaRelay {
 		return f.pollRelay(ctx, start)
 	}
-	full := f.version == 0 || f.RereadInterval > 0 && start.Sub(f.lastFullRead) > f.RereadInterval
+	full := !f.loaded || f.RereadInterval > 0 && start.Sub(f.lastFullRead) > f.RereadInterval
 	timeout, wait := f.callLimits()
 	if full {
 		wait = 0
@@ -190,7 +192,7 @@
 // pollRelay makes one call to the relay. The answering instance rereads the whole
 // table regularly, so this one skips its own rereads.
 func (f *Follower[T]) pollRelay(ctx context.Context, start clock.Time) error {
-	full := f.version == 0
+	full := !f.loaded
 	result, err := f.fetch(ctx, f.Relay, full, f.MaxWait)
 	if errors.Is(err, ErrChangesMissed) {
 		return err
@@ -219,7 +221,7 @@
 func (f *Follower[T]) deliver(r ReadResult[T], full bool, start, completeAt clock.Time) {
 	f.recordAnswer(start)
 	if full {
-		f.version, f.lastFullRead = r.Version, start
+		f.loaded, f.version, f.lastFullRead = true, r.Version, start
 		f.Sink.Replace(r.Rows, completeAt)
 		return
 	}
@@ -261,7 +263,7 @@
 		f.failures = 0
 	case err == nil:
 	case errors.Is(err, ErrChangesMissed):
-		f.version = 0
+		f.loaded = false
 		f.Log.Warn().Str("table", f.Name).AnErr("cause", err).Msg("discovery: changes missed; reading the whole table again")
 	default:
 		if f.failures == 0 {
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -37,6 +37,10 @@
 	desiredRereadInterval = 10 * time.Second
 	targetRereadInterval  = 30 * time.Second
 
+	// settleTime is how long it takes, from the reading of the entries of all instances,
+	// until their peers are selected.
+	settleTime = 600 * time.Millisecond
+
 	// An instance that reads the store for others waits for changes for
 	// relayWaitFraction of the time within which draining targets and new desired
 	// states have to be known, which leaves the others time to notice that this
@@ -108,7 +112,7 @@
 		Source:  platform.OperatorTable{Reader: storeReader(platform.TableOperator), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.OperatorRow]{platform.OperatorTable{Reader: operatorReader, Unreadable: i.unreadable}, operatorReader},
 		Sink:    discovery.OperatorSink{DesiredState: i.desiredState, Rollouts: &i.rollouts, Log: i.log},
-		MaxWait: i.desiredWait(), RereadInterval: desiredRereadInterval, Recovery: &i.recovery, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: i.desiredWait(), FirstPollDelay: i.firstPollDelay(settleTime), RereadInterval: desiredRereadInterval, Recovery: &i.recovery, MaxBackoff: peerSelector.Backoff}).Run)
 
 	targetReader := newReader(platform.TableTargets, false)
 	targetSink := discovery.NewTargetSink(&i.targets, i.desiredState, i.log, func() { i.targetsRead.Store(true) })
@@ -117,21 +121,22 @@
 		Source:  platform.TargetTable{Reader: storeReader(platform.TableTargets), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.TargetRow]{platform.TargetTable{Reader: targetReader, Unreadable: i.unreadable}, targetReader},
 		Sink:    targetSink,
-		MaxWait: targetWait, FirstPollDelay: i.firstPollDelay(), MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: targetWait, FirstPollDelay: i.firstPollDelay(settleTime), MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
 
 	instanceReader := newReader(platform.TableInstances, false)
 	p.Go((&discovery.Follower[discovery.InstanceRow]{Name: platform.TableInstances, Log: i.log,
 		Source:  platform.InstanceTable{Reader: storeReader(platform.TableInstances), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.InstanceRow]{platform.InstanceTable{Reader: instanceReader, Unreadable: i.unreadable}, instanceReader},
 		Sink:    discovery.InstanceSink{Exchange: i.peers, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, OnRead: i.recordInstancesRead},
-		MaxWait: peerWait, FirstPollDelay: i.firstPollDelay(), MinInterval: peerPollInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: peerWait, FirstPollDelay: i.firstPollDelay(0), MinInterval: peerPollInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
 }
 
-// firstPollDelay returns how long this instance waits for the entries of the others before
-// it polls the store for changes of a table that it has read.
-func (i *Instance) firstPollDelay() time.Duration {
+// firstPollDelay returns how long this instance leaves a table that it has read before it
+// polls the store for changes: until the entries of the others are written and, after
+// settle, known.
+func (i *Instance) firstPollDelay(settle time.Duration) time.Duration {
 	if i.settings.FirstStart() {
-		return firstAnnounceTime
+		return firstAnnounceTime + settle
 	}
 	return 0
 }
