bounded: one map that drops the oldest entries, for ended boots and cache locations

Cause: beyond 16,384 cache locations each new one walked all of them to find one to drop (a fleet with 500 streams a second gets there within its 30 s); its test took 30 s. The record of ended boots had a second piece of code for the same. Change: bounded.Map drops the entry that was put first, at a cost that doesn't depend on the number of entries; both use it. TestTableBounded checks besides that the newest location is found.

--- a/cachelocation/table.go
+++ b/cachelocation/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/bounded"
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
@@ -34,7 +35,7 @@
 	// ready to use.
 	Table struct {
 		mu        sync.Mutex
-		locations map[string]location
+		locations bounded.Map[string, location]
 		updates   []Location // the last locations that this instance observed, the newest last
 		observed  uint64     // number of locations that this instance has observed
 	}
@@ -69,18 +70,8 @@
 }
 
 func (t *Table) put(l Location, now clock.Time) {
-	if t.locations == nil {
-		t.locations = map[string]location{}
-	}
-	t.locations[l.Subject] = location{engine: l.Engine, recordedAt: now}
-	if len(t.locations) <= maxLocations {
-		return
-	}
-	for s, known := range t.locations {
-		if now.Sub(known.recordedAt) > maxAge || len(t.locations) > maxLocations {
-			delete(t.locations, s) // expired locations, then any others: a lost location costs one prefill
-		}
-	}
+	t.locations.Max = maxLocations // a location that is dropped costs one prefill
+	t.locations.Put(l.Subject, location{engine: l.Engine, recordedAt: now})
 }
 
 // Find returns the engine that was last known to cache a prompt, and whether
@@ -88,7 +79,7 @@
 func (t *Table) Find(subject string, now clock.Time) (ragworthitch.Boot, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known, ok := t.locations[subject]
+	known, ok := t.locations.Get(subject)
 	if !ok || now.Sub(known.recordedAt) > maxAge {
 		return ragworthitch.Boot{}, false
 	}
--- a/cachelocation/table_test.go
+++ b/cachelocation/table_test.go
@@ -46,7 +46,9 @@
 	for i := range 10 * maxLocations {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		table.RecordOwn(Location{fmt.Sprint(i), engine("e1")}, now)
-		assert.LessOrEqual(t, len(table.locations), maxLocations)
+		_, ok := table.Find(fmt.Sprint(i), now)
+		assert.True(t, ok)
+		assert.LessOrEqual(t, table.locations.Len(), maxLocations)
 	}
 	updates, n := table.RecordedSince(0)
 	assert.Len(t, updates, maxUpdates)
--- a/registry/boots.go
+++ b/registry/boots.go
@@ -67,39 +67,23 @@
 
 // endEarlierBoots records that all earlier boots of b's id have ended; r.mu is held.
 func (r *Registry) endEarlierBoots(b ragworthitch.Boot) {
-	if e := r.ended[b.ID()]; b.Started() > e.started {
-		r.setEnded(b.ID(), endedBoots{started: b.Started()})
+	if e, _ := r.ended.Get(b.ID()); b.Started() > e.started {
+		r.ended.Put(b.ID(), endedBoots{started: b.Started()})
 	}
 }
 
 // endBoot records that a boot has ended; r.mu is held.
 func (r *Registry) endBoot(b ragworthitch.Boot) {
-	if !r.ended[b.ID()].includes(b.Started()) {
-		r.setEnded(b.ID(), endedBoots{started: b.Started(), inclusive: true})
-	}
-}
-
-func (r *Registry) setEnded(id string, e endedBoots) {
-	if _, ok := r.ended[id]; !ok {
-		r.endedOrder = append(r.endedOrder, id)
-	}
-	r.ended[id] = e
-	for len(r.ended) > maxEndedBoots {
-		delete(r.ended, r.endedOrder[0])
-		r.endedOrder = r.endedOrder[1:]
-	}
-	if len(r.endedOrder) > 2*maxEndedBoots {
-		r.endedOrder = slices.DeleteFunc(r.endedOrder, func(id string) bool {
-			_, ok := r.ended[id]
-			return !ok
-		})
+	if e, _ := r.ended.Get(b.ID()); !e.includes(b.Started()) {
+		r.ended.Put(b.ID(), endedBoots{started: b.Started(), inclusive: true})
 	}
 }
 
 // hasEnded reports whether the boot of a target that started at a time has ended. m is the
 // known boot of the target; nil: none. r.mu is held.
 func (r *Registry) hasEnded(id string, started int64, m *Member) bool {
-	return r.ended[id].includes(started) || m != nil && started < m.Target().Boot().Started()
+	ended, _ := r.ended.Get(id)
+	return ended.includes(started) || m != nil && started < m.Target().Boot().Started()
 }
 
 // EndMismatched records that the address of a target answered for another target: the
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/bounded"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/pace"
@@ -47,10 +48,9 @@
 		byID               map[string]*Member
 		byAddr             map[string]*Member // the newest at each address
 		services           map[string]*serviceMembers
-		ended              map[string]endedBoots        // by id
-		endedOrder         []string                     // ids in ended, and some that are no more, oldest first
-		lateRegistrations  map[string]lateRegistration  // by id
-		staleRegistrations map[serviceZone][]clock.Time // times at which they were found
+		ended              bounded.Map[string, endedBoots] // by id
+		lateRegistrations  map[string]lateRegistration     // by id
+		staleRegistrations map[serviceZone][]clock.Time    // times at which they were found
 
 		busyMu      sync.Mutex
 		busy        map[*Member]bool // targets with load from this instance
@@ -150,7 +150,7 @@
 		return Ignored
 	}
 	if aliveAgain {
-		delete(r.ended, t.ID())
+		r.ended.Delete(t.ID())
 	}
 	delete(r.lateRegistrations, t.ID())
 	if m != nil && t.Boot() == m.Target().Boot() && t.Address() == m.Target().Address() {
@@ -173,7 +173,7 @@
 		outcome = Restarted
 	}
 	if aliveAgain {
-		delete(r.ended, t.ID()) // retire has recorded its earlier boots
+		r.ended.Delete(t.ID()) // retire has recorded its earlier boots
 	}
 	r.add(t, maxConns)
 	return outcome
@@ -201,7 +201,7 @@
 func (r *Registry) makeMaps() {
 	if r.byID == nil {
 		r.byID, r.byAddr = map[string]*Member{}, map[string]*Member{}
-		r.services, r.ended = map[string]*serviceMembers{}, map[string]endedBoots{}
+		r.services, r.ended.Max = map[string]*serviceMembers{}, maxEndedBoots
 		r.staleRegistrations, r.lateRegistrations = map[serviceZone][]clock.Time{}, map[string]lateRegistration{}
 	}
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -177,7 +177,7 @@
 	for i := range 2 * maxEndedBoots {
 		r.EndMismatched(ragworthitch.NewBoot(fmt.Sprint(i), 1), now)
 	}
-	assert.LessOrEqual(t, len(r.ended), maxEndedBoots)
+	assert.LessOrEqual(t, r.ended.Len(), maxEndedBoots)
 	assert.Equal(t, Ignored, r.Put(newStartedTarget("live", "10.0.0.1:80", 99), 0))
 }
 
