logs: dropped lines don't use up the rate of warnings; flush may be called twice

Cause: the count of lines in a second included dropped ones, so that after 500 info lines warnings were dropped too, although their room is reserved. A second flush closed a nil channel. TestWarningsPassInfoLimit, extended to warnings after many dropped lines and a second flush, fails before.

--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -33,7 +33,7 @@
 
 	mu              sync.Mutex
 	currentSecond   int64 // Unix time that linesThisSecond counts
-	linesThisSecond int
+	linesThisSecond int   // without the dropped ones
 }
 
 // Bounded returns a writer that never blocks and passes a bounded number of
@@ -44,11 +44,12 @@
 	if onDrop == nil {
 		onDrop = func() {}
 	}
-	b := &boundedWriter{lines: make(chan []byte, maxPendingLines), onDrop: onDrop}
+	lines := make(chan []byte, maxPendingLines)
+	b := &boundedWriter{lines: lines, onDrop: onDrop}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for line := range b.lines {
+		for line := range lines {
 			if _, err := w.Write(line); err != nil {
 				b.drop()
 			}
@@ -58,11 +59,7 @@
 		}
 	}()
 	return b, func() {
-		b.mu.Lock()
-		lines := b.lines
-		b.lines = nil
-		b.mu.Unlock()
-		close(lines)
+		b.close()
 		select {
 		case <-done:
 		case <-time.After(flushTimeout):
@@ -70,6 +67,16 @@
 	}
 }
 
+// close ends the queue, unless it has ended.
+func (b *boundedWriter) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lines != nil {
+		close(b.lines)
+		b.lines = nil
+	}
+}
+
 // Write queues one line.
 func (b *boundedWriter) Write(line []byte) (int, error) {
 	b.mu.Lock()
@@ -77,11 +84,11 @@
 	if now := time.Now().Unix(); now != b.currentSecond {
 		b.currentSecond, b.linesThisSecond = now, 0
 	}
-	b.linesThisSecond++
-	if b.linesThisSecond > maxLinesPerSecond || b.lines == nil || b.linesThisSecond > maxInfoLinesPerSecond && isInfo(line) {
+	if b.lines == nil || b.linesThisSecond >= maxLinesPerSecond || b.linesThisSecond >= maxInfoLinesPerSecond && isInfo(line) {
 		b.drop()
 		return len(line), nil
 	}
+	b.linesThisSecond++
 	select {
 	case b.lines <- append([]byte(nil), line...):
 	default:
--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -32,7 +32,8 @@
 	return w.b.String()
 }
 
-// Warnings pass when info lines have used up their share of the rate.
+// Warnings pass when info lines have used up their share of the rate, also those that come
+// after many dropped lines.
 func TestWarningsPassInfoLimit(t *testing.T) {
 	w := &slowWriter{release: make(chan struct{})}
 	close(w.release)
@@ -46,13 +47,14 @@
 			fmt.Fprintf(out, "{\"level\":\"warn\",\"n\":%d}\n", i)
 		}
 	}
-	last := fmt.Sprintf(`{"level":"warn","n":%d}`, 399)
+	last := fmt.Sprintf(`{"level":"warn","n":%d}`, 2*maxLinesPerSecond-1)
 	require.Eventually(t, func() bool { return strings.Contains(w.String(), last) }, 5*time.Second, time.Millisecond)
 	flush()
+	flush() // has no effect
 	infoLines := strings.Count(w.String(), `"level":"info"`)
 	assert.LessOrEqual(t, infoLines, maxInfoLinesPerSecond)
 	assert.GreaterOrEqual(t, infoLines, maxInfoLinesPerSecond-10)
-	for _, n := range []int{99, 199, 299, 399} {
+	for n := 99; n < 2*maxLinesPerSecond; n += 100 {
 		assert.Contains(t, w.String(), fmt.Sprintf(`{"level":"warn","n":%d}`, n))
 	}
 }
