budget: a loan does not renew earlier ones

Cause: one expiry stood for all borrowed retries, and each loan moved it on: retries that a lender had counted long ago could still be made, so that a sliding window could hold more of them than the lender accounts for. TestLoansExpireOneByOne fails before (5 retries, 3 are valid).

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -174,3 +174,16 @@
 	}
 	return maxUse
 }
+
+// Guards against a loan that renews an earlier one: the lender counted that one's retries
+// when it lent them.
+func TestLoansExpireOneByOne(t *testing.T) {
+	b := New(testLimit, func() (int, clock.Time, bool) { return 0, 0, false })
+	b.Borrowed("svc", 2, at(0))
+	b.Borrowed("svc", 3, at(0.8))
+	taken := 0
+	for b.Spend("svc", at(1.2)) {
+		taken++
+	}
+	assert.Equal(t, 3, taken)
+}
--- a/budget/loan.go
+++ b/budget/loan.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -15,11 +16,15 @@
 	loanLifetime = time.Second
 )
 
-// borrowedRetries are retries that other instances have lent.
-type borrowedRetries struct {
-	n       int
-	expires clock.Time
-}
+type (
+	// borrowedRetries are retries that other instances have lent, the first loan first.
+	borrowedRetries []loan
+
+	loan struct {
+		n       int
+		expires clock.Time
+	}
+)
 
 // Lend takes up to n retries of a service out of the budget for another instance
 // and returns their number. They count as used here even if the reply is lost, so
@@ -39,17 +44,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
-	if now >= w.borrowed.expires {
-		w.borrowed.n = 0
-	}
-	w.borrowed = borrowedRetries{n: w.borrowed.n + n, expires: now.Add(loanLifetime)}
+	w.borrowed.dropUsed(now)
+	w.borrowed = append(w.borrowed, loan{n: n, expires: now.Add(loanLifetime)})
 }
 
 // take uses a borrowed retry and reports whether there was one.
 func (r *borrowedRetries) take(now clock.Time) bool {
-	if r.n == 0 || now >= r.expires {
+	r.dropUsed(now)
+	if len(*r) == 0 {
 		return false
 	}
-	r.n--
+	(*r)[0].n--
 	return true
 }
+
+// dropUsed drops the loans that are used up or have expired.
+func (r *borrowedRetries) dropUsed(now clock.Time) {
+	*r = slices.DeleteFunc(*r, func(l loan) bool { return l.n <= 0 || now >= l.expires })
+}
