relay: keep the order of sent rows when peers send older ones; split cache.go

Found by reading: rows from a peer may be older than the last ones, so that the list that answers are searched in was out of order and rows could be left out of an answer.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -35,13 +34,6 @@
 	// peers still have time to ask elsewhere.
 	storeFailureGrace = 400 * time.Millisecond
 
-	// historyTimeout bounds a call for earlier changes. It is shorter than the time that
-	// the asking peer waits.
-	historyTimeout = 250 * time.Millisecond
-
-	// minSends is the number of entries of Cache.sends below which obsolete ones stay.
-	minSends = 64
-
 	// tombstoneTime is how long a deleted row is kept. A peer whose table is
 	// older has to read the whole table.
 	tombstoneTime = 60 * time.Second
@@ -62,6 +54,7 @@
 		mu            sync.Mutex
 		rows          map[string]*cachedRow // by key; nil: the table is not loaded
 		sends         []sendEntry           // of all rows, by version; older entries of a row are obsolete
+		sendsUnsorted bool                  // sends is out of order
 		version       int64                 // version up to which the table is complete
 		minVersion    int64                 // deletions after this version are known
 		asOf          clock.Time            // time up to which the table is complete
@@ -74,13 +67,6 @@
 		questioned    chan struct{}         // closed at the next question, if no peer asks now
 	}
 
-	// sendEntry says that peers before a version are sent the row with a key. It is obsolete
-	// if the row's sendVersion differs.
-	sendEntry struct {
-		version int64
-		key     string
-	}
-
 	// cachedRow holds the newest write of a row.
 	cachedRow struct {
 		row           platform.StoredRow
@@ -168,9 +154,6 @@
 			c.putRow(r, version)
 		}
 	}
-	if first {
-		c.sortSends()
-	}
 	for key, cached := range c.rows {
 		if !present[key] && !cached.row.Deleted {
 			c.putRow(platform.StoredRow{RowID: cached.row.RowID, Version: version, Deleted: true}, version)
@@ -193,55 +176,6 @@
 	c.advance(version, asOf)
 }
 
-// extendHistory reads the changes after a version from the store, so that peers at that
-// version need not read them. One call serves all peers that wait. It reports whether the
-// changes are known.
-func (c *Cache) extendHistory(ctx context.Context, after int64) bool {
-	select {
-	case c.historyTurn <- struct{}{}:
-	case <-ctx.Done():
-		return false
-	}
-	defer func() { <-c.historyTurn }()
-	if c.knowsDeletions(after) {
-		return true
-	}
-	if c.readHistory == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	p, err := c.readHistory(ctx, after)
-	if err != nil {
-		return false
-	}
-	c.addHistory(p.Rows, after)
-	return true
-}
-
-// knowsDeletions reports whether all deletions after a version are known.
-func (c *Cache) knowsDeletions(after int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return after >= c.minVersion
-}
-
-// addHistory adds the deletions among the changes after a version. The cache holds the
-// other rows already.
-func (c *Cache) addHistory(changes []platform.StoredRow, after int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := clock.Now()
-	for _, r := range changes {
-		if c.rows[r.Key] == nil && r.Deleted {
-			c.rows[r.Key] = &cachedRow{row: r, sendVersion: r.Version, sendVersionAt: now, changedAt: now}
-			c.sends = append(c.sends, sendEntry{r.Version, r.Key})
-		}
-	}
-	c.sortSends()
-	c.minVersion = min(c.minVersion, after)
-}
-
 // StoreFailed records that a call to the store failed.
 func (c *Cache) StoreFailed(now clock.Time) {
 	c.mu.Lock()
@@ -269,44 +203,14 @@
 	}
 	if cached == nil || !c.unchanged(cached.row, r) {
 		c.rows[r.Key] = &cachedRow{row: r, sendVersion: version, sendVersionAt: now, changedAt: now}
-		c.sends = append(c.sends, sendEntry{version, r.Key})
+		c.addSend(version, r.Key)
 		c.hasChanges = true
 		return
 	}
 	cached.row = r
 	if now.Sub(cached.changedAt) < settlePeriod || now.Sub(cached.sendVersionAt) >= unchangedInterval {
 		cached.sendVersion, cached.sendVersionAt = version, now
-		c.sends = append(c.sends, sendEntry{version, r.Key})
-	}
-}
-
-// sortSends puts c.sends in order after entries of earlier versions were added. The caller
-// holds c.mu.
-func (c *Cache) sortSends() {
-	slices.SortStableFunc(c.sends, func(a, b sendEntry) int { return cmp.Compare(a.version, b.version) })
-}
-
-// dropObsoleteSends removes obsolete entries of c.sends once they are most of it. The caller
-// holds c.mu.
-func (c *Cache) dropObsoleteSends() {
-	if len(c.sends) <= 2*len(c.rows)+minSends {
-		return
-	}
-	c.sends = slices.DeleteFunc(c.sends, func(e sendEntry) bool {
-		cached := c.rows[e.key]
-		return cached == nil || cached.sendVersion != e.version
-	})
-}
-
-// sentAfter returns the rows that peers at a version are sent. The caller holds c.mu.
-func (c *Cache) sentAfter(after int64) iter.Seq[*cachedRow] {
-	first, _ := slices.BinarySearchFunc(c.sends, after+1, func(e sendEntry, version int64) int { return cmp.Compare(e.version, version) })
-	return func(yield func(*cachedRow) bool) {
-		for _, e := range c.sends[first:] {
-			if cached := c.rows[e.key]; cached != nil && cached.sendVersion == e.version && !yield(cached) {
-				return
-			}
-		}
+		c.addSend(version, r.Key)
 	}
 }
 
@@ -318,6 +222,7 @@
 	}
 	c.version, c.asOf = max(c.version, version), max(c.asOf, asOf)
 	c.dropTombstones(clock.Now())
+	c.sortSends()
 	c.dropObsoleteSends()
 	if c.wantsAsOf || c.hasChanges {
 		c.notify()
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 	"testing"
@@ -151,3 +152,41 @@
 	few, many := timePerAnswer(small), timePerAnswer(large)
 	assert.Less(t, many, maxGrowth*few, "%v with %d rows, %v with %d", many, large, few, small)
 }
+
+// Guards against rows that are left out of an answer, or sent without need, whatever the
+// order in which they were read from the store and from peers.
+func TestSentAfterFindsAllRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 8))
+		cache := NewCache(sameRow, time.Hour, nil)
+		version := int64(100)
+		write := func(maxAge int) platform.StoredRow {
+			v := version - int64(rng.IntN(maxAge)) // the store gives a version to one write only
+			return platform.StoredRow{RowID: platform.RowID{Table: table, Key: fmt.Sprint("k", v*7%40)}, Version: v,
+				Value: fmt.Appendf(nil, "%d:0", v*13%100), Deleted: v%8 == 0}
+		}
+		cache.Replace(nil, version, clock.Now())
+		for range 3000 {
+			version += int64(rng.IntN(3))
+			switch rng.IntN(20) {
+			case 0:
+				cache.addHistory([]platform.StoredRow{write(60)}, version-60)
+			default:
+				cache.Apply([]platform.StoredRow{write(1), write(30)}, version, clock.Now())
+			}
+			time.Sleep(200 * time.Millisecond)
+			after := version - int64(rng.IntN(80))
+			want, got := map[string]bool{}, map[string]bool{}
+			for key, cached := range cache.rows {
+				if cached.sendVersion > after {
+					want[key] = true
+				}
+			}
+			for cached := range cache.sentAfter(after) {
+				got[cached.row.Key] = true // a row twice does no harm
+			}
+			require.Equal(t, want, got)
+			require.LessOrEqual(t, len(cache.sends), 2*len(cache.rows)+minSends+2)
+		}
+	})
+}
