--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -67,7 +67,9 @@
 	pending, dials := 0, 0
 	defer func() {
 		cancel() // ends the other attempts
-		go closeAll(results, pending)
+		if pending > 0 {
+			go closeAll(results, pending)
+		}
 	}()
 	startAttempt := func() bool {
 		if dials >= maxDials {
