discovery: a whole table may take as long as its parts need

Cause: a read of a whole table had the time of one call, 0.4 s, or 1.5 s after a failure. The table grows with the number of targets, and the smallest instances have 20 Mbit/s: before 3,000 targets it took longer than 0.4 s, before 10,000 longer than 1.5 s at every try. Change: the limit of time holds for each page.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -22,7 +22,8 @@
 	initialBackoff = 30 * time.Millisecond
 	maxBackoff     = 300 * time.Millisecond
 	// responseTimeout is how long the store may take beyond the requested wait
-	// before the call is abandoned and idle connections are closed.
+	// before the call is abandoned and idle connections are closed. For a whole table it
+	// applies to each part, as the table may be larger than a slow link carries in that time.
 	responseTimeout = 400 * time.Millisecond
 	// slowResponseTimeout replaces responseTimeout after a failed call, so that a
 	// slow store can still be read.
@@ -64,8 +65,9 @@
 
 	// Source is a table of the store.
 	Source[T any] interface {
-		// Read reads the whole table.
-		Read(ctx context.Context) (ReadResult[T], error)
+		// Read reads the whole table, in parts if it is large. Each part may take
+		// partTimeout.
+		Read(ctx context.Context, partTimeout time.Duration) (ReadResult[T], error)
 		// Changes waits for rows that changed after a version, at most for wait.
 		Changes(ctx context.Context, after int64, wait time.Duration) (ReadResult[T], error)
 		// CloseIdleConnections closes idle connections, which may be broken.
@@ -173,12 +175,12 @@
 	}
 	full := !f.loaded || f.RereadInterval > 0 && start.Sub(f.lastFullRead) > f.RereadInterval
 	timeout, wait := f.callLimits()
-	if full {
-		wait = 0
+	if !full {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout+wait)
+		defer cancel()
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
-	defer cancel()
-	result, err := f.fetch(ctx, f.Source, full, wait)
+	result, err := f.fetch(ctx, f.Source, full, timeout, wait)
 	if err != nil {
 		return err
 	}
@@ -193,7 +195,7 @@
 // table regularly, so this one skips its own rereads.
 func (f *Follower[T]) pollRelay(ctx context.Context, start clock.Time) error {
 	full := !f.loaded
-	result, err := f.fetch(ctx, f.Relay, full, f.MaxWait)
+	result, err := f.fetch(ctx, f.Relay, full, 0, f.MaxWait)
 	if errors.Is(err, ErrChangesMissed) {
 		return err
 	}
@@ -209,9 +211,9 @@
 	return nil
 }
 
-func (f *Follower[T]) fetch(ctx context.Context, source Source[T], full bool, wait time.Duration) (ReadResult[T], error) {
+func (f *Follower[T]) fetch(ctx context.Context, source Source[T], full bool, partTimeout, wait time.Duration) (ReadResult[T], error) {
 	if full {
-		return source.Read(ctx)
+		return source.Read(ctx, partTimeout)
 	}
 	return source.Changes(ctx, f.version, wait)
 }
