platform: count the calls to the store by call, table and outcome

What the calls to the store of a start, a change and the steady state are could be seen only with a log line added for a trial. A counter for each call, table and outcome; bounded, as names of objects are left out.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -118,6 +118,7 @@
 	bounds := settings.Bounds()
 	i := &Instance{startedAt: clock.Now(), started: make(chan struct{}), settings: settings, log: log, store: platform.NewStore(settings.Store()), metrics: metrics, unreadable: platform.NewUnreadableRows(log, scope),
 		desiredState: desired.NewTracker(desired.Ages{Reject: scale(rejectAgeFraction, bounds.Config), Key: scale(keyAgeFraction, bounds.Revoke)})}
+	i.store.CountCalls(scope)
 	i.bodyMemory = admit.NewMemory(int64(bodyFraction * float64(settings.Memory())))
 	i.poisonTracker.Log, i.poisonTracker.Scope = log, scope
 	i.rollouts.Log, i.rollouts.Share = log, bounds.CanaryShare
