--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -22,11 +22,12 @@
 	initialBackoff = 30 * time.Millisecond
 	maxBackoff     = 300 * time.Millisecond
 	// responseTimeout is how long the store may take beyond the requested wait
-	// before the call is abandoned and idle connections are closed. For a whole table it
-	// applies to each part, as the table may be larger than a slow link carries in that time.
+	// before the call is abandoned and idle connections are closed.
 	responseTimeout = 400 * time.Millisecond
 	// slowResponseTimeout replaces responseTimeout after a failed call, so that a
-	// slow store can still be read.
+	// slow store can still be read. For a whole table it applies to each part, as the table
+	// may be larger than a slow link carries in that time. The first read has the short
+	// time for all parts: peers with fast links often have the table sooner.
 	slowResponseTimeout = 1500 * time.Millisecond
 	// minRelayInterval is the minimum time between the starts of two calls to a
 	// relay, which answers as soon as a row changes: changes that follow each other
@@ -175,7 +176,7 @@
 	}
 	full := !f.loaded || f.RereadInterval > 0 && start.Sub(f.lastFullRead) > f.RereadInterval
 	timeout, wait := f.callLimits()
-	if !full {
+	if !full || f.failures == 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout+wait)
 		defer cancel()
