--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -176,6 +176,9 @@
 	}
 	full := !f.loaded || f.RereadInterval > 0 && start.Sub(f.lastFullRead) > f.RereadInterval
 	timeout, wait := f.callLimits()
+	if full {
+		wait = 0
+	}
 	if !full || f.failures == 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout+wait)
--- a/discovery/slow_test.go
+++ b/discovery/slow_test.go
@@ -82,6 +82,7 @@
 	parts    int
 	partTime time.Duration
 	reads    int
+	failedAt []time.Duration // since the start
 }
 
 func (s *largeStore) Read(ctx context.Context, partTimeout time.Duration) (ReadResult[int], error) {
@@ -91,6 +92,7 @@
 		received := clock.Sleep(partCtx, s.partTime)
 		cancel()
 		if !received {
+			s.failedAt = append(s.failedAt, time.Since(s.start))
 			return ReadResult[int]{}, errUnavailable
 		}
 	}
@@ -107,6 +109,7 @@
 		f := &Follower[int]{Name: "t", Source: s, Sink: s, Log: zerolog.Nop(), MaxWait: pollWait}
 		assert.NoError(t, f.Run(ctx))
 		assert.Equal(t, 2, s.reads, "the first read gives up early, as peers may have the table sooner")
+		assert.Equal(t, []time.Duration{responseTimeout}, s.failedAt)
 		assert.NotZero(t, s.completeAt)
 	})
 }
