relay: rank the zone once for each list of peers, not for each question and answer

Found on reading the change again: the limit on answers asks for the size of the zone, and each look who is asked first does too, by sorting all instances of the zone. The first instance of a zone answers all others, so that its work grew with n^2 log n. TestRankingIsKept (1,000 instances, no allocation while the peers are the same) fails before.

--- a/relay/peer_selector.go
+++ b/relay/peer_selector.go
@@ -36,8 +36,10 @@
 		self  exchange.Peer
 		peers func() []exchange.Peer
 
-		mu       sync.Mutex
-		backoffs map[string]peerBackoff // by node
+		mu          sync.Mutex
+		backoffs    map[string]peerBackoff // by node
+		ranking     []exchange.Peer        // of rankedPeers and self
+		rankedPeers []exchange.Peer
 	}
 
 	// peerBackoff says until when a peer is not asked.
@@ -48,7 +50,7 @@
 )
 
 // NewPeerSelector returns the selector of the instance self. peers returns the peers
-// that the instance knows.
+// that the instance knows, in another slice whenever they have changed.
 func NewPeerSelector(self exchange.Peer, peers func() []exchange.Peer) *PeerSelector {
 	return &PeerSelector{self: self, peers: peers, backoffs: map[string]peerBackoff{}}
 }
@@ -70,13 +72,30 @@
 	return exchange.Peer{}, false
 }
 
-// ranked returns the instances of the zone, with this one, in the order in which they
+// ranked is like rank. It ranks anew only if the known peers have changed, since it is called
+// for each question and each answer.
+func (s *PeerSelector) ranked() []exchange.Peer {
+	peers := s.peers()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ranking == nil || !isSameSlice(peers, s.rankedPeers) {
+		s.ranking, s.rankedPeers = s.rank(peers), peers
+	}
+	return s.ranking
+}
+
+// isSameSlice reports whether a and b are the same elements in memory.
+func isSameSlice(a, b []exchange.Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// rank returns the instances of the zone, with this one, in the order in which they
 // are asked: those with the fastest links first, since the first one sends every change to
 // the whole zone. The order is the same at all instances, and whether one instance precedes
 // another does not depend on the rest.
-func (s *PeerSelector) ranked() []exchange.Peer {
+func (s *PeerSelector) rank(peers []exchange.Peer) []exchange.Peer {
 	all := []exchange.Peer{s.self}
-	for _, p := range s.peers() {
+	for _, p := range peers {
 		if p.Zone == s.self.Zone {
 			all = append(all, p)
 		}
--- a/relay/peer_selector_test.go
+++ b/relay/peer_selector_test.go
@@ -72,3 +72,27 @@
 		}
 	}
 }
+
+// Guards against ranking the whole zone for each question and each answer: an instance
+// answers its zone, so that the work would grow with the square of the zone's size.
+func TestRankingIsKept(t *testing.T) {
+	list := func(n int) []exchange.Peer {
+		out := make([]exchange.Peer, n)
+		for i := range out {
+			out[i] = exchange.Peer{Node: fmt.Sprint("n", i), Zone: "z"}
+		}
+		return out
+	}
+	peers := list(1000)
+	s := NewPeerSelector(exchange.Peer{Node: "self", Zone: "z"}, func() []exchange.Peer { return peers })
+	assert.Equal(t, 1001, s.ZoneSize())
+	assert.Zero(t, testing.AllocsPerRun(10, func() {
+		s.Next(clock.Now())
+		s.ZoneSize()
+		s.Backoff()
+	}))
+	peers = list(500)
+	assert.Equal(t, 501, s.ZoneSize(), "the peers have changed")
+	peers = nil
+	assert.Equal(t, 1, s.ZoneSize())
+}
