--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -41,13 +41,14 @@
 )
 
 // faultySender answers at random like failing engines: complete, cut off at any byte,
-// refused, as another target, with events out of sequence, or with a status that promises
-// that the call has not run although it has.
+// refused, as another target, with events out of sequence or, if misleads is set, with a
+// status that promises that the call has not run although it has.
 type faultySender struct {
-	mu      sync.Mutex
-	rng     *rand.Rand
-	started int // attempts that a target has started to run
-	reached int // attempts that reached a target
+	mu       sync.Mutex
+	rng      *rand.Rand
+	misleads bool // some targets that ran the call answer with misleadingStatuses
+	started  int  // attempts that a target has started to run
+	reached  int  // attempts that reached a target
 }
 
 func (s *faultySender) Send(ctx context.Context, r *AttemptRequest) (*Reply, error) {
@@ -56,7 +57,7 @@
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, ctx.Err())
 	}
-	outcome := s.rng.IntN(10 + len(misleadingStatuses))
+	outcome := s.rng.IntN(10)
 	if outcome == 0 {
 		return nil, fmt.Errorf("%w: refused", upstream.ErrNotSent)
 	}
@@ -74,8 +75,8 @@
 	case 4:
 		return &Reply{Status: http.StatusInternalServerError, Header: http.Header{}, Body: body("failed")}, nil
 	}
-	if outcome >= 10 {
-		return &Reply{Status: misleadingStatuses[outcome-10], Header: http.Header{}, Body: body("failed")}, nil
+	if s.misleads && outcome >= 5 && outcome-5 < len(misleadingStatuses) {
+		return &Reply{Status: misleadingStatuses[outcome-5], Header: http.Header{}, Body: body("failed")}, nil
 	}
 	return &Reply{Status: http.StatusOK, Delimited: true, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: s.stream(r)}, nil
 }
@@ -152,21 +153,27 @@
 		f.Add(seed, uint8(seed%(streamEvents+1)))
 	}
 	f.Fuzz(func(t *testing.T, seed uint64, offset uint8) {
-		s := &faultySender{rng: rand.New(rand.NewPCG(seed, 2))}
-		lastEvent := int(offset) % (streamEvents + 1)
-		c := &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x", Header: http.Header{}, Prompt: 10, MaxTokens: 100, Received: clock.Now()}
-		if lastEvent > 0 {
-			c.ResumeOffset = strconv.Itoa(lastEvent)
-		}
-		w, cut := serve(newTestHandler(t, s, ragworthitch.CallStream), c)
-		checkStream(t, w, cut, lastEvent)
-		require.LessOrEqual(t, s.startedCount(), maxAttempts)
-		if promisesNotRun(w.Code) && !cut {
-			require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
+		for _, misleads := range []bool{false, true} {
+			checkFaultyStream(t, seed, offset, misleads)
 		}
 	})
 }
 
+func checkFaultyStream(t *testing.T, seed uint64, offset uint8, misleads bool) {
+	s := &faultySender{rng: rand.New(rand.NewPCG(seed, 2)), misleads: misleads}
+	lastEvent := int(offset) % (streamEvents + 1)
+	c := &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x", Header: http.Header{}, Prompt: 10, MaxTokens: 100, Received: clock.Now()}
+	if lastEvent > 0 {
+		c.ResumeOffset = strconv.Itoa(lastEvent)
+	}
+	w, cut := serve(newTestHandler(t, s, ragworthitch.CallStream), c)
+	checkStream(t, w, cut, lastEvent)
+	require.LessOrEqual(t, s.startedCount(), maxAttempts)
+	if promisesNotRun(w.Code) && !cut {
+		require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
+	}
+}
+
 func checkStream(t *testing.T, w *httptest.ResponseRecorder, cut bool, lastEvent int) {
 	if w.Code != http.StatusOK || cut && w.Body.Len() == 0 {
 		return
@@ -195,12 +202,14 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
-		s := &faultySender{rng: rand.New(rand.NewPCG(seed, 3))}
-		w, _ := serve(newTestHandler(t, s, ragworthitch.CallUnsafe), &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x",
-			Header: http.Header{}, Received: clock.Now()})
-		require.LessOrEqual(t, s.startedCount(), 1)
-		if promisesNotRun(w.Code) {
-			require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
+		for _, misleads := range []bool{false, true} {
+			s := &faultySender{rng: rand.New(rand.NewPCG(seed, 3)), misleads: misleads}
+			w, _ := serve(newTestHandler(t, s, ragworthitch.CallUnsafe), &Call{ID: "call", Method: "POST", Host: "h", URI: "/p/x", Path: "/p/x",
+				Header: http.Header{}, Received: clock.Now()})
+			require.LessOrEqual(t, s.startedCount(), 1)
+			if promisesNotRun(w.Code) {
+				require.Zero(t, s.startedCount(), "rejected as not run, though it ran")
+			}
 		}
 	})
 }
