--- a/admit/memory.go
+++ b/admit/memory.go
@@ -26,12 +26,15 @@
 	return io.ReadAll(&countedReader{m: m, r: r})
 }
 
-// Free releases n bytes that Read has returned or TryReserve has taken.
+// Free releases n bytes that Read has returned or that Take or TryReserve has taken.
 func (m *Memory) Free(n int) { m.used.Add(-int64(n)) }
 
 // Fits reports whether n more bytes fit the limit.
 func (m *Memory) Fits(n int) bool { return m.limit <= 0 || m.used.Load()+int64(n) <= m.limit }
 
+// Take takes n bytes that are held already, also beyond the limit.
+func (m *Memory) Take(n int) { m.used.Add(int64(n)) }
+
 // TryReserve takes n bytes and reports whether they fit the limit.
 func (m *Memory) TryReserve(n int) bool {
 	if used := m.used.Add(int64(n)); m.limit > 0 && used > m.limit {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,9 +35,6 @@
 	// minEventIntervalChange is the least relative change of an event interval that
 	// is reported. Smaller changes don't affect the choice of a target.
 	minEventIntervalChange = 0.2
-	// minReportedBodies is the least total size of request bodies at a target that is
-	// reported, in bytes. Smaller ones don't affect the choice of a target.
-	minReportedBodies = 256 << 10
 	// maxViewInterval is the longest time between two views on a connection. After
 	// viewTimeout without a view, the peer's load counts as zero.
 	maxViewInterval = 1 * time.Second
@@ -207,12 +204,9 @@
 		if !r.differsFrom(sent[b]) {
 			continue
 		}
-		l, bodies := r.load, 0
-		if l.Bodies >= minReportedBodies {
-			bodies = l.Bodies
-		}
+		l := r.load
 		v.Loads = append(v.Loads, wire.TargetLoad{Target: b, Prefill: l.Prefill, YieldingPrefill: l.YieldingPrefill, Running: l.Running, Tokens: l.Tokens,
-			Bodies: bodies, EventInterval: r.eventInterval})
+			Bodies: l.Bodies, EventInterval: r.eventInterval})
 		sent[b] = r
 		if l == (registry.Load{}) {
 			delete(sent, b)
--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -291,11 +293,16 @@
 		Msg("health: another target answers at the address; stale entry dropped")
 }
 
-// abandon ends a call whose caller has disconnected or, by cause, accepts no more of the
-// answer. It never returns: a handler that returns without an answer sends an empty success.
-func (c *activeCall) abandon(cause error) {
+// abandon ends a call whose caller has disconnected or stopped reading. err is the error
+// of the last write; nil: the connection was closed. abandon never returns: a handler that
+// returns without an answer sends an empty success.
+func (c *activeCall) abandon(err error) {
 	c.h.stats.abandoned.Inc(1)
-	c.logFailure(0, "caller disconnected", cause)
+	cause := "caller disconnected"
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		cause = "caller stopped reading"
+	}
+	c.logFailure(0, cause, err)
 	panic(http.ErrAbortHandler)
 }
 
--- a/ingress/caller_writer.go
+++ b/ingress/caller_writer.go
@@ -23,12 +23,12 @@
 	maxWriteBytes = 4 << 10
 )
 
-// errCallerStalled means that the caller does not accept the answer: it reads nothing or
-// has disconnected.
-var errCallerStalled = errors.New("ingress: caller does not accept the answer")
+// errNotAccepted means that the answer could not be written: the caller has disconnected or,
+// with os.ErrDeadlineExceeded, has stopped reading.
+var errNotAccepted = errors.New("ingress: caller does not accept the answer")
 
 // callerWriter writes an answer to a caller that may stop reading. Its errors wrap
-// errCallerStalled.
+// errNotAccepted.
 type callerWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
@@ -53,7 +53,7 @@
 		n, err := w.ResponseWriter.Write(b[written:min(len(b), written+maxWriteBytes)])
 		written += n
 		if err != nil {
-			return written, fmt.Errorf("%w: %w", errCallerStalled, err)
+			return written, fmt.Errorf("%w: %w", errNotAccepted, err)
 		}
 	}
 	return written, nil
@@ -63,7 +63,7 @@
 func (w *callerWriter) flush() error {
 	w.extend()
 	if err := w.controller.Flush(); err != nil {
-		return fmt.Errorf("%w: %w", errCallerStalled, err)
+		return fmt.Errorf("%w: %w", errNotAccepted, err)
 	}
 	return nil
 }
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -143,7 +143,7 @@
 			s.recordSymptom(a.member, rollout.Slow, true)
 		}
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errPanic), errors.Is(err, errQuarantined),
-		errors.Is(err, errTargetLost), errors.Is(err, errBootEnded), errors.Is(err, errCallerStalled):
+		errors.Is(err, errTargetLost), errors.Is(err, errBootEnded), errors.Is(err, errNotAccepted):
 	default:
 		go s.h.catchPanic(s.call.ID, func() { s.recordBrokenAnswer(a.member, a.startedAt) })
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -193,13 +193,11 @@
 			cancel()
 		}
 	})
-	reserved := 0 // bytes taken out of the memory for answers
 	result := attemptResult{member: m, end: sync.OnceFunc(func() {
 		stopWatching()
 		cancel()
 		endWork()
 		dropBody()
-		c.h.answerMemory.Free(reserved)
 	})}
 	defer func() {
 		if result.rest == nil {
@@ -211,9 +209,6 @@
 	if result.err == nil {
 		result.body, result.rest, result.err = readStart(result.reply.Body)
 	}
-	if result.rest != nil && c.h.answerMemory.TryReserve(maxBufferedBytes) {
-		reserved = maxBufferedBytes
-	}
 	c.recordHealth(parent, result, startedAt)
 	return result
 }
@@ -269,6 +264,8 @@
 		c.fail(http.StatusBadGateway, "target may have run the call that it rejected", nil)
 		return
 	}
+	c.h.answerMemory.Take(len(result.body))
+	defer c.h.answerMemory.Free(len(result.body))
 	copyHeaders(c.w, result.reply)
 	if result.rest == nil {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
@@ -289,7 +286,7 @@
 	switch {
 	case err == nil:
 		return
-	case errors.Is(err, errCallerStalled):
+	case errors.Is(err, errNotAccepted):
 		c.abandon(err)
 	}
 	c.h.stats.failed.Inc(1)
--- a/ingress/slow_caller_test.go
+++ b/ingress/slow_caller_test.go
@@ -211,6 +211,26 @@
 	})
 }
 
+// Small plain answers that nobody reads count against the memory for answers, too.
+func TestSmallAnswersTakeAnswerMemory(t *testing.T) {
+	bubble(t, "plain answers", func(t *testing.T) {
+		const answerSize, callers = maxBufferedBytes / 2, 4
+		h := newTestHandler(t, largeSender{answerSize}, ragworthitch.CallUnsafe)
+		h.answerMemory = admit.NewMemory(callers*answerSize + maxQueuedBytes - 1)
+		for range callers {
+			go h.ServeComplete(t.Context(), &stalledWriter{ResponseRecorder: httptest.NewRecorder()}, slowCall(0))
+			synctest.Wait()
+		}
+		w := httptest.NewRecorder()
+		assert.True(t, h.ServeComplete(t.Context(), w, slowCall(0)))
+		assert.Equal(t, http.StatusServiceUnavailable, w.Code)
+		time.Sleep(2 * callerStallTimeout)
+		w = httptest.NewRecorder()
+		assert.True(t, h.ServeComplete(t.Context(), w, slowCall(0)))
+		assert.Equal(t, http.StatusOK, w.Code, "memory is not freed")
+	})
+}
+
 // A large answer reaches a caller that reads it whole and unchanged.
 func TestLargeAnswerIsWhole(t *testing.T) {
 	h := newTestHandler(t, largeSender{largeAnswerSize}, ragworthitch.CallUnsafe)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -83,7 +83,7 @@
 		if !errors.Is(err, upstream.ErrNotSent) {
 			s.mayHaveRun = true
 		}
-		if errors.Is(err, errCallerStalled) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(err, errNotAccepted) && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			s.abandon(err)
 		}
 		if ctx.Err() != nil {
@@ -211,7 +211,7 @@
 	err := a.watch(ctx)
 	cancel()
 	a.freeQueue()
-	failedAtTarget := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errCallerStalled)
+	failedAtTarget := !errors.Is(err, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errNotAccepted)
 	if a.headReceived && err != nil && parent.Err() == nil && failedAtTarget {
 		totalEvents, bodies := s.totalEvents, member.Work().PeakBodies()
 		go s.h.catchPanic(s.call.ID, func() { s.investigateCrash(member, a.headReceivedAt, totalEvents, bodies) })
--- a/relay/history.go
+++ b/relay/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -12,30 +13,32 @@
 // the asking peer waits.
 const historyTimeout = 250 * time.Millisecond
 
+// errNoHistory means that a cache cannot read earlier changes.
+var errNoHistory = errors.New("relay: cache reads no earlier changes")
+
 // extendHistory reads the changes after a version from the store, so that peers at that
-// version need not read them. One call serves all peers that wait. It reports whether the
-// changes are known.
-func (c *Cache) extendHistory(ctx context.Context, after int64) bool {
+// version need not read them. One call serves all peers that wait.
+func (c *Cache) extendHistory(ctx context.Context, after int64) error {
 	select {
 	case c.historyTurn <- struct{}{}:
 	case <-ctx.Done():
-		return false
+		return ctx.Err()
 	}
 	defer func() { <-c.historyTurn }()
 	if c.knowsDeletions(after) {
-		return true
+		return nil
 	}
 	if c.readHistory == nil {
-		return false
+		return errNoHistory
 	}
 	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
 	p, err := c.readHistory(ctx, after)
 	if err != nil {
-		return false
+		return err
 	}
 	c.addHistory(p.Rows, after)
-	return true
+	return nil
 }
 
 // knowsDeletions reports whether all deletions after a version are known.
--- a/relay/peer_reader.go
+++ b/relay/peer_reader.go
@@ -159,6 +159,7 @@
 		return page, nil
 	case errors.Is(err, errPeerBehind), errors.Is(err, errAnswerTooLarge):
 		r.forceStore = true
+		r.Log.Info().Str("table", r.Table).Str("peer", p.Node).Int64("version", q.After).AnErr("cause", err).Msg("relay: one read from the store in place of the peer")
 		return page, err
 	case errors.Is(context.Cause(ctx), errServesPeers):
 		r.CloseIdleConnections()
--- a/relay/server.go
+++ b/relay/server.go
@@ -100,7 +100,11 @@
 	knownAsOf := c.completeAsOf()
 	for {
 		a, isNew, updated := c.answer(q, received, knownAsOf)
-		if a.State == wire.AnswerMissed && c.extendHistory(ctx, q.After) {
+		if a.State == wire.AnswerMissed {
+			if err := c.extendHistory(ctx, q.After); err != nil {
+				s.Log.Warn().Str("table", q.Table).Int64("version", q.After).Err(err).Msg("relay: earlier changes not read for a peer")
+				return a
+			}
 			a, isNew, updated = c.answer(q, received, knownAsOf)
 		}
 		if rowsSize(a) > s.answerLimit() {
--- a/wire/view.go
+++ b/wire/view.go
@@ -43,7 +43,7 @@
 		YieldingPrefill int // the same, of calls whose prefill yields to other calls
 		Running         int // calls in progress
 		Tokens          int // KV cache of the instance's calls and replicas, in tokens
-		Bodies          int // size of the bodies of the instance's calls in bytes, if it is large
+		Bodies          int // size of the bodies of the instance's calls, in bytes
 		// EventInterval is the event interval of streams at the target, as the instance
 		// sees it; 0: no recent events.
 		EventInterval time.Duration
@@ -60,7 +60,7 @@
 	}
 
 	// bodiesFrame holds TargetLoad.Bodies of the load with an index. It is apart from
-	// loadFrame because few loads have it.
+	// loadFrame so that instances without the field can read the view.
 	bodiesFrame struct {
 		_ struct{} `cbor:",toarray"`
 		I int
