Names: one word for one thing in exchange, health and discovery

'settle' meant the debounced list of peers in exchange and the time after a change of a row in relay: debounce and apply in exchange. Memory was a limit on one's own memory in admit and an estimate of a target's in health: TargetMemory. 'part' is a partition of a table in platform: page in discovery. No change of behaviour.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -25,9 +25,9 @@
 	// before the call is abandoned and idle connections are closed.
 	responseTimeout = 400 * time.Millisecond
 	// slowResponseTimeout replaces responseTimeout after a failed call, so that a
-	// slow store can still be read. For a whole table it applies to each part, as the table
+	// slow store can still be read. For a whole table it applies to each page, as the table
 	// may be larger than a slow link carries in that time. The first read has the short
-	// time for all parts: peers with fast links often have the table sooner.
+	// time for all pages: peers with fast links often have the table sooner.
 	slowResponseTimeout = 1500 * time.Millisecond
 	// minRelayInterval is the minimum time between the starts of two calls to a
 	// relay, which answers as soon as a row changes: changes that follow each other
@@ -66,9 +66,8 @@
 
 	// Source is a table of the store.
 	Source[T any] interface {
-		// Read reads the whole table, in parts if it is large. Each part may take
-		// partTimeout.
-		Read(ctx context.Context, partTimeout time.Duration) (ReadResult[T], error)
+		// Read reads the whole table, page by page. Each page may take pageTimeout.
+		Read(ctx context.Context, pageTimeout time.Duration) (ReadResult[T], error)
 		// Changes waits for rows that changed after a version, at most for wait.
 		Changes(ctx context.Context, after int64, wait time.Duration) (ReadResult[T], error)
 		// CloseIdleConnections closes idle connections, which may be broken.
@@ -215,9 +214,9 @@
 	return nil
 }
 
-func (f *Follower[T]) fetch(ctx context.Context, source Source[T], full bool, partTimeout, wait time.Duration) (ReadResult[T], error) {
+func (f *Follower[T]) fetch(ctx context.Context, source Source[T], full bool, pageTimeout, wait time.Duration) (ReadResult[T], error) {
 	if full {
-		return source.Read(ctx, partTimeout)
+		return source.Read(ctx, pageTimeout)
 	}
 	return source.Changes(ctx, f.version, wait)
 }
--- a/discovery/slow_test.go
+++ b/discovery/slow_test.go
@@ -42,8 +42,8 @@
 	return ReadResult[int]{Version: 1}, nil
 }
 
-func (s *slowStore) Read(ctx context.Context, partTimeout time.Duration) (ReadResult[int], error) {
-	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+func (s *slowStore) Read(ctx context.Context, pageTimeout time.Duration) (ReadResult[int], error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	return s.answer(ctx, 0)
 }
@@ -76,20 +76,20 @@
 	}
 }
 
-// largeStore is a Source whose whole table comes in parts, as over a slow link.
+// largeStore is a Source whose whole table comes in pages, as over a slow link.
 type largeStore struct {
 	slowStore
-	parts    int
-	partTime time.Duration
+	pages    int
+	pageTime time.Duration
 	reads    int
 	failedAt []time.Duration // since the start
 }
 
-func (s *largeStore) Read(ctx context.Context, partTimeout time.Duration) (ReadResult[int], error) {
+func (s *largeStore) Read(ctx context.Context, pageTimeout time.Duration) (ReadResult[int], error) {
 	s.reads++
-	for range s.parts {
-		partCtx, cancel := context.WithTimeout(ctx, partTimeout)
-		received := clock.Sleep(partCtx, s.partTime)
+	for range s.pages {
+		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
+		received := clock.Sleep(pageCtx, s.pageTime)
 		cancel()
 		if !received {
 			s.failedAt = append(s.failedAt, time.Since(s.start))
@@ -105,7 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 		defer cancel()
-		s := &largeStore{slowStore: slowStore{start: time.Now(), slowAfter: time.Hour}, parts: 20, partTime: 200 * time.Millisecond}
+		s := &largeStore{slowStore: slowStore{start: time.Now(), slowAfter: time.Hour}, pages: 20, pageTime: 200 * time.Millisecond}
 		f := &Follower[int]{Name: "t", Source: s, Sink: s, Log: zerolog.Nop(), MaxWait: pollWait}
 		assert.NoError(t, f.Run(ctx))
 		assert.Equal(t, 2, s.reads, "the first read gives up early, as peers may have the table sooner")
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -65,13 +65,13 @@
 		incoming  map[string]*wire.Conn // newest connection that a peer sends views on, by node
 		known     map[string]Peer       // known peers, by node
 		knownAsOf clock.Time            // time up to which known is complete; 0: not read yet
-		// changedAt is when known last changed, and unsettledSince when it first changed
-		// after the last call of settle; 0: it has not.
-		changedAt, unsettledSince clock.Time
-		ownEntry                  Peer             // of this instance, as last read; zero: none
-		settled                   []Peer           // known peers at the last call of settle
-		links                     map[string]*link // to the peers that are sent views, by node
-		updated                   chan struct{}    // closed when there is something to report at once
+		// changedAt is when known last changed, and pendingSince when it first changed
+		// after the last call of applyPeers; 0: it has not.
+		changedAt, pendingSince clock.Time
+		ownEntry                Peer             // of this instance, as last read; zero: none
+		applied                 []Peer           // known peers at the last call of applyPeers
+		links                   map[string]*link // to the peers that are sent views, by node
+		updated                 chan struct{}    // closed when there is something to report at once
 	}
 
 	// conn is a connection to a peer that receives views.
@@ -120,11 +120,11 @@
 func (e *Exchange) Run(ctx context.Context) error {
 	e.mu.Lock()
 	e.ctx = ctx
-	e.settle()
+	e.applyPeers()
 	e.mu.Unlock()
 	reportedChanges := uint64(0)
 	for clock.Sleep(ctx, pollInterval) {
-		e.settleIfDue(clock.Now())
+		e.applyPeersIfDue(clock.Now())
 		if n := e.targets.WorkChanges(); n != reportedChanges {
 			reportedChanges = n
 			e.SendNow()
--- a/exchange/internal_test.go
+++ b/exchange/internal_test.go
@@ -107,7 +107,7 @@
 				for i := range n {
 					e.UpdatePeer(Peer{Node: fmt.Sprint("n-", i), Zone: fmt.Sprint("z", i%5), Addr: "10.0.0.1:1"}, false)
 				}
-				e.Settle()
+				e.ApplyPeers()
 			}
 		})
 	}
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -18,12 +18,11 @@
 	// otherZonePeers is how many of maxPeers are reserved for other zones, so that
 	// forwarded reports cross zones.
 	otherZonePeers = 4
-	// settlePeriod is how long the known peers have to stay unchanged before links are
-	// opened and closed, and maxSettlePeriod bounds the delay while they keep changing.
-	// When many instances start at once, each of them would otherwise select its peers
-	// anew for every other one that appears.
-	settlePeriod    = 300 * time.Millisecond
-	maxSettlePeriod = 1500 * time.Millisecond
+	// debounceTime is how long the known peers have to stay unchanged before they are
+	// applied, and maxDebounceTime bounds the delay while they keep changing. Otherwise,
+	// when many instances start at once, each would select its peers anew for every other.
+	debounceTime    = 300 * time.Millisecond
+	maxDebounceTime = 1500 * time.Millisecond
 )
 
 // Peer is another entry instance, as listed in the table of instances.
@@ -35,7 +34,7 @@
 }
 
 // UpdatePeer adds a peer or updates its address. With gone it removes the peer. Peers and
-// the links follow after settlePeriod, or at the next call of Settle.
+// the links follow after debounceTime, or at the next call of ApplyPeers.
 func (e *Exchange) UpdatePeer(p Peer, gone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -52,8 +51,8 @@
 		e.known[p.Node] = p
 	}
 	e.changedAt = clock.Now()
-	if e.unsettledSince == 0 {
-		e.unsettledSince = e.changedAt
+	if e.pendingSince == 0 {
+		e.pendingSince = e.changedAt
 	}
 }
 
@@ -71,36 +70,36 @@
 	return Peer{}
 }
 
-// Settle makes Peers and the links follow the known peers at once.
-func (e *Exchange) Settle() {
+// ApplyPeers makes Peers and the links follow the known peers at once.
+func (e *Exchange) ApplyPeers() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.settle()
+	e.applyPeers()
 }
 
-// settleIfDue calls settle if the known peers have changed and settlePeriod or
-// maxSettlePeriod has passed.
-func (e *Exchange) settleIfDue(now clock.Time) {
+// applyPeersIfDue calls applyPeers if the known peers have changed and debounceTime or
+// maxDebounceTime has passed.
+func (e *Exchange) applyPeersIfDue(now clock.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.unsettledSince != 0 && (now.Sub(e.changedAt) >= settlePeriod || now.Sub(e.unsettledSince) >= maxSettlePeriod) {
-		e.settle()
+	if e.pendingSince != 0 && (now.Sub(e.changedAt) >= debounceTime || now.Sub(e.pendingSince) >= maxDebounceTime) {
+		e.applyPeers()
 	}
 }
 
-// settle makes Peers and the links follow the known peers. The caller holds e.mu.
-func (e *Exchange) settle() {
-	e.unsettledSince = 0
-	e.settled = slices.Collect(maps.Values(e.known))
+// applyPeers makes Peers and the links follow the known peers. The caller holds e.mu.
+func (e *Exchange) applyPeers() {
+	e.pendingSince = 0
+	e.applied = slices.Collect(maps.Values(e.known))
 	e.updateLinks()
 }
 
-// Peers returns the known peers, without the changes since the last call of settle. The
+// Peers returns the known peers, without the changes since the last call of applyPeers. The
 // caller must not modify the slice.
 func (e *Exchange) Peers() []Peer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.settled
+	return e.applied
 }
 
 // SetKnownAsOf records that the table of instances is complete up to the given time.
@@ -178,6 +177,6 @@
 	defer e.mu.Unlock()
 	if e.known[p.Node] == p {
 		delete(e.known, p.Node)
-		e.settle()
+		e.applyPeers()
 	}
 }
--- a/health/memory.go
+++ b/health/target_memory.go
@@ -15,10 +15,10 @@
 )
 
 type (
-	// Memory learns how large the request bodies may be that a target of each service
+	// TargetMemory learns how large the request bodies may be that a target of each service
 	// holds at once: targets crash when they exceed their memory. The zero value knows no
 	// limit.
-	Memory struct {
+	TargetMemory struct {
 		mu       sync.RWMutex
 		services map[string]memoryEvidence
 	}
@@ -31,14 +31,14 @@
 )
 
 // HasLimit reports whether a limit is known for the targets of a service.
-func (m *Memory) HasLimit(service string) bool {
+func (m *TargetMemory) HasLimit(service string) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.services[service].limit != 0
 }
 
 // Fits reports whether a target of a service can hold bodies of the given total size.
-func (m *Memory) Fits(service string, size int) bool {
+func (m *TargetMemory) Fits(service string, size int) bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	limit := m.services[service].limit
@@ -46,7 +46,7 @@
 }
 
 // Survived records that a target held bodies of the given total size.
-func (m *Memory) Survived(service string, size int) {
+func (m *TargetMemory) Survived(service string, size int) {
 	m.mu.RLock()
 	known := m.services[service]
 	m.mu.RUnlock()
@@ -66,7 +66,7 @@
 // Crashed records that a target crashed while it held bodies of the given total size, and
 // reports whether that explains the crash. body is the size of the request under
 // suspicion: a request that makes up most of the total is not explained by the others.
-func (m *Memory) Crashed(service string, size, body int) bool {
+func (m *TargetMemory) Crashed(service string, size, body int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.services[service]
@@ -82,7 +82,7 @@
 }
 
 // put sets the evidence of a service; m.mu is held.
-func (m *Memory) put(service string, e memoryEvidence) {
+func (m *TargetMemory) put(service string, e memoryEvidence) {
 	if m.services == nil {
 		m.services = map[string]memoryEvidence{}
 	}
--- a/health/memory_test.go
+++ b/health/target_memory_test.go
@@ -24,10 +24,10 @@
 
 // Guards against sending a target more than it can hold, and against taking a crash for
 // lack of memory for the crash of a poison request or the other way round.
-func TestMemory(t *testing.T) {
+func TestTargetMemory(t *testing.T) {
 	for _, tt := range cases.Load[memoryCase](t, "testdata/memory.yaml") {
 		t.Run(tt.Name, func(t *testing.T) {
-			var m Memory
+			var m TargetMemory
 			for i, s := range tt.Steps {
 				if s.Survived > 0 {
 					m.Survived("s", mib(s.Survived))
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -69,11 +69,11 @@
 		claimProbe     func(ctx context.Context, p poison.Probe) bool
 		isReady        func() bool
 		started        <-chan struct{}
-		links          health.Links  // packet loss on the link to each zone
-		paces          pace.Services // measured paces of the engines of each service
-		targetMemory   health.Memory // sizes of bodies that targets can hold
-		answerMemory   *admit.Memory // for parts of answers that callers have not accepted yet
-		fixedPace      *pace.Pace    // nil: the measured paces apply
+		links          health.Links        // packet loss on the link to each zone
+		paces          pace.Services       // measured paces of the engines of each service
+		targetMemory   health.TargetMemory // sizes of bodies that targets can hold
+		answerMemory   *admit.Memory       // for parts of answers that callers have not accepted yet
+		fixedPace      *pace.Pace          // nil: the measured paces apply
 		log            zerolog.Logger
 		stats          stats
 
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -37,9 +37,9 @@
 	desiredRereadInterval = 10 * time.Second
 	targetRereadInterval  = 30 * time.Second
 
-	// settleTime is how long it takes, from the reading of the entries of all instances,
-	// until their peers are selected.
-	settleTime = 600 * time.Millisecond
+	// peersApplyTime is how long it takes from reading the entries of all instances until
+	// these are asked.
+	peersApplyTime = 600 * time.Millisecond
 
 	// An instance that reads the store for others waits for changes for
 	// relayWaitFraction of the time within which draining targets and new desired
@@ -112,7 +112,7 @@
 		Source:  platform.OperatorTable{Reader: storeReader(platform.TableOperator), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.OperatorRow]{platform.OperatorTable{Reader: operatorReader, Unreadable: i.unreadable}, operatorReader},
 		Sink:    discovery.OperatorSink{DesiredState: i.desiredState, Rollouts: &i.rollouts, Log: i.log},
-		MaxWait: i.desiredWait(), FirstPollDelay: i.firstPollDelay(settleTime), RereadInterval: desiredRereadInterval, Recovery: &i.recovery, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: i.desiredWait(), FirstPollDelay: i.firstPollDelay(peersApplyTime), RereadInterval: desiredRereadInterval, Recovery: &i.recovery, MaxBackoff: peerSelector.Backoff}).Run)
 
 	targetReader := newReader(platform.TableTargets, false)
 	targetSink := discovery.NewTargetSink(&i.targets, i.desiredState, i.log, func() { i.targetsRead.Store(true) })
@@ -121,7 +121,7 @@
 		Source:  platform.TargetTable{Reader: storeReader(platform.TableTargets), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.TargetRow]{platform.TargetTable{Reader: targetReader, Unreadable: i.unreadable}, targetReader},
 		Sink:    targetSink,
-		MaxWait: targetWait, FirstPollDelay: i.firstPollDelay(settleTime), MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
+		MaxWait: targetWait, FirstPollDelay: i.firstPollDelay(peersApplyTime), MinInterval: targetPollInterval, RereadInterval: targetRereadInterval, Recovery: &i.recovery, AwaitsRecovery: true, MaxBackoff: peerSelector.Backoff}).Run)
 
 	instanceReader := newReader(platform.TableInstances, false)
 	p.Go((&discovery.Follower[discovery.InstanceRow]{Name: platform.TableInstances, Log: i.log,
@@ -132,11 +132,11 @@
 }
 
 // firstPollDelay returns how long this instance leaves a table that it has read before it
-// polls the store for changes: until the entries of the others are written and, after
-// settle, known.
-func (i *Instance) firstPollDelay(settle time.Duration) time.Duration {
+// polls the store for changes: until the other instances have written their entries and,
+// after applyTime, can be asked.
+func (i *Instance) firstPollDelay(applyTime time.Duration) time.Duration {
 	if i.settings.FirstStart() {
-		return firstAnnounceTime + settle
+		return firstAnnounceTime + applyTime
 	}
 	return 0
 }
@@ -146,7 +146,7 @@
 // instances are still writing their entries.
 func (i *Instance) recordInstancesRead() {
 	if !i.instancesRead.Swap(true) && !i.settings.FirstStart() {
-		i.peers.Settle()
+		i.peers.ApplyPeers()
 	}
 }
 
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -525,8 +525,8 @@
 // source adapts a platform.Reader to the source of a discovery.Follower.
 type source struct{ reader platform.Reader }
 
-func (s source) Read(ctx context.Context, partTimeout time.Duration) (discovery.ReadResult[platform.StoredRow], error) {
-	p, err := s.reader.ReadAll(ctx, platform.Range{Table: table, PageTimeout: partTimeout})
+func (s source) Read(ctx context.Context, pageTimeout time.Duration) (discovery.ReadResult[platform.StoredRow], error) {
+	p, err := s.reader.ReadAll(ctx, platform.Range{Table: table, PageTimeout: pageTimeout})
 	return toReadResult(p), err
 }
 
