ingress: calls don't wait for an instance that cannot reach the store

Found on reading the change again: while the store is unavailable, each call at an instance that has just started waited up to a second, although the instance had no state after seconds. Calls wait only within 2 s of the start; then they are rejected at once. TestCallsWaitForStart has both cases.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -27,10 +27,12 @@
 )
 
 // maxStartWait and startWaitShare of the caller's timeout bound how long a call waits for
-// the start of this instance.
+// the start of this instance. An instance that has not started after maxStartTime cannot
+// reach the store, and rejects calls at once.
 const (
 	maxStartWait   = time.Second
 	startWaitShare = 0.2
+	maxStartTime   = 2 * time.Second
 )
 
 // Retry-After of rejected calls, by cause. Each value is varied by 25 % up or down, so
@@ -68,6 +70,7 @@
 		rollouts       *rollout.Tracker
 		claimProbe     func(ctx context.Context, p poison.Probe) bool
 		isReady        func() bool
+		createdAt      clock.Time
 		started        <-chan struct{}
 		links          health.Links        // packet loss on the link to each zone
 		paces          pace.Services       // measured paces of the engines of each service
@@ -148,7 +151,7 @@
 		close(started)
 		cfg.Started = started
 	}
-	return &Handler{started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
+	return &Handler{createdAt: clock.Now(), started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
 		rollouts: cfg.Rollouts, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
 		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
@@ -239,13 +242,16 @@
 		return
 	default:
 	}
-	maxWait := maxStartWait
+	arrived, inTime := clock.Now(), true
+	maxWait := min(maxStartWait, maxStartTime-arrived.Sub(h.createdAt))
 	if call.Timeout > 0 {
 		maxWait = min(maxWait, time.Duration(startWaitShare*float64(call.Timeout)))
 	}
+	if maxWait <= 0 {
+		return
+	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
-	arrived, inTime := clock.Now(), true
 	select {
 	case <-h.started:
 	case <-timer.C:
--- a/ingress/start_test.go
+++ b/ingress/start_test.go
@@ -19,17 +19,20 @@
 func TestCallsWaitForStart(t *testing.T) {
 	tests := []struct {
 		name       string
-		startTakes time.Duration // 0: started before the call arrives
+		arrives    time.Duration // after the instance was created
+		startTakes time.Duration // from the arrival; 0: started before the call arrives
 		timeout    time.Duration // of the caller
 		status     int
 		wait       time.Duration
 	}{
-		{"started", 0, 25 * time.Second, http.StatusOK, 0},
-		{"a stream, started soon", 300 * time.Millisecond, 25 * time.Second, http.StatusOK, 300 * time.Millisecond},
-		{"a short call, started soon", 200 * time.Millisecond, 1500 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
-		{"a short call, started later", 600 * time.Millisecond, 1500 * time.Millisecond, http.StatusServiceUnavailable, 300 * time.Millisecond},
-		{"a stream, started much later", 5 * time.Second, 25 * time.Second, http.StatusServiceUnavailable, maxStartWait},
-		{"unknown timeout", 5 * time.Second, 0, http.StatusServiceUnavailable, maxStartWait},
+		{"started", 0, 0, 25 * time.Second, http.StatusOK, 0},
+		{"a stream, started soon", 0, 300 * time.Millisecond, 25 * time.Second, http.StatusOK, 300 * time.Millisecond},
+		{"a short call, started soon", 0, 200 * time.Millisecond, 1500 * time.Millisecond, http.StatusOK, 200 * time.Millisecond},
+		{"a short call, started later", 0, 600 * time.Millisecond, 1500 * time.Millisecond, http.StatusServiceUnavailable, 300 * time.Millisecond},
+		{"a stream, started much later", 0, 5 * time.Second, 25 * time.Second, http.StatusServiceUnavailable, maxStartWait},
+		{"unknown timeout", 0, 5 * time.Second, 0, http.StatusServiceUnavailable, maxStartWait},
+		{"the start has taken long", maxStartTime - 100*time.Millisecond, 5 * time.Second, 25 * time.Second, http.StatusServiceUnavailable, 100 * time.Millisecond},
+		{"the store cannot be reached", maxStartTime, 5 * time.Second, 25 * time.Second, http.StatusServiceUnavailable, 0},
 	}
 	for _, tt := range tests {
 		bubble(t, tt.name, func(t *testing.T) {
@@ -45,8 +48,9 @@
 				start()
 			} else {
 				h.desiredState, h.targets = desired.NewTracker(desired.Ages{}), &registry.Registry{}
-				time.AfterFunc(tt.startTakes, start)
+				time.AfterFunc(tt.arrives+tt.startTakes, start)
 			}
+			time.Sleep(tt.arrives)
 			arrived := clock.Now()
 			w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Timeout: tt.timeout, Received: arrived})
 			assert.False(t, cut)
