ratelimit: log and count what targets say about their rate limits

A target may name, in each answer, the requests a second that it takes from all instances together. Instances now decode the header, log each change of what they know, and count attempts to targets with a known limit. No decision uses it yet.

A limit ends with a success that does not name it and whose request was sent after the last answer that did; failures and unreadable values end nothing.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -110,7 +110,7 @@
 
 // send sends the attempt and passes everything received from the target to emitResult.
 func (a *attempt) send(ctx context.Context, r *AttemptRequest, emitResult func(readResult) bool) {
-	reply, err := a.s.h.sender.Send(ctx, r)
+	reply, err := a.s.activeCall.send(ctx, r)
 	a.sendResult <- err
 	if err != nil {
 		emitResult(readResult{err: err, end: true})
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 )
 
@@ -61,7 +62,8 @@
 		NotRun bool
 		// WrongTarget means that another target answered at the address.
 		WrongTarget bool
-		Header      http.Header // passed on to the caller
+		RateLimit   ratelimit.Statement // what the target says about its rate limit
+		Header      http.Header         // passed on to the caller
 		Body        io.ReadCloser
 		Delimited   bool // the body has a length or an end mark, so that a truncated body is detected
 		// Events passes the events of the stream to emit until emit returns false. It
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -205,7 +205,7 @@
 		}
 	}()
 	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt)}
-	result.reply, result.err = c.h.sender.Send(ctx, r)
+	result.reply, result.err = c.send(ctx, r)
 	if result.err == nil {
 		result.body, result.rest, result.err = readStart(result.reply.Body)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/pace"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
@@ -63,6 +64,7 @@
 		health health.State
 		pace   pace.Engine
 		work   Work
+		limit  ratelimit.Limit
 
 		addedAt clock.Time
 
@@ -97,6 +99,9 @@
 // Work returns the load at the target.
 func (m *Member) Work() *Work { return &m.work }
 
+// RateLimit returns the rate limit that the target names in its answers.
+func (m *Member) RateLimit() *ratelimit.Limit { return &m.limit }
+
 // Life returns a context that ends, with the cause ErrEnded, when this boot of the
 // target is known to have ended: its attempts are lost.
 func (m *Member) Life() context.Context { return m.life }
