ratelimit: all instances together keep to the rate limits that targets name

Cause: the limit was a response header that no instance read; it was passed on to the caller and had no part in the choice of a target. A signal that binds all senders together was not known to be one.

Fix: every attempt, of whatever kind, needs a permit of its target; one place sends attempts and sends none without. The permits of a target are divided among the instances without messages: equal parts for few instances, one series of permits with an owner each (consistent hashing) for many. An instance that knows less sends less. The limit and its end spread with the views. Calls that limits keep from all targets are rejected at once, or wait where the next permit comes within half of their objective.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthitch/ragworthitch/cachelocation"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/poison"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
@@ -59,11 +60,14 @@
 		poisonTracker  *poison.Tracker
 		log            zerolog.Logger
 		dial           func(ctx context.Context, addr string) (conn, error)
+		onRateLimit    func(*registry.Member, ratelimit.Change)
 
 		mu        sync.Mutex
 		ctx       context.Context
 		incoming  map[string]*wire.Conn // newest connection that a peer sends views on, by node
 		known     map[string]Peer       // known peers, by node
+		members   ratelimit.Members     // the names in known, since the version that it has
+		version   uint64                // number of changes of known
 		knownAsOf clock.Time            // time up to which known is complete; 0: not read yet
 		// changedAt is when known last changed, and pendingSince when it first changed
 		// after the last call of applyPeers; 0: it has not.
@@ -95,7 +99,7 @@
 
 // New returns the exchange of the named instance.
 func New(node, zone string, targets *registry.Registry, cacheLocations *cachelocation.Table, poisonTracker *poison.Tracker, log zerolog.Logger) *Exchange {
-	return &Exchange{node: node, zone: zone, targets: targets, cacheLocations: cacheLocations, poisonTracker: poisonTracker, log: log, dial: dialView,
+	return &Exchange{node: node, zone: zone, targets: targets, cacheLocations: cacheLocations, poisonTracker: poisonTracker, log: log, dial: dialView, onRateLimit: func(*registry.Member, ratelimit.Change) {},
 		incoming: map[string]*wire.Conn{}, known: map[string]Peer{}, links: map[string]*link{}, updated: make(chan struct{})}
 }
 
@@ -163,7 +167,7 @@
 	}
 	defer c.CloseNow()
 	e.log.Info().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: connected to peer")
-	sent := map[ragworthitch.Boot]report{}
+	sent, sentLimits := map[ragworthitch.Boot]report{}, map[ragworthitch.Boot]ratelimit.Report{}
 	var lastSent clock.Time
 	var locationCount, crashCount uint64
 	for ctx.Err() == nil {
@@ -171,7 +175,8 @@
 		v := e.changesSince(sent)
 		v.CacheLocations, locationCount = e.cacheLocationsSince(locationCount)
 		v.Crashes, crashCount = e.poisonTracker.CrashesSince(crashCount)
-		if now := clock.Now(); len(v.Loads) > 0 || len(v.CacheLocations) > 0 || len(v.Crashes) > 0 || now.Sub(lastSent) >= maxViewInterval {
+		v.RateLimits = e.rateLimitsSince(sentLimits, clock.Now())
+		if now := clock.Now(); v.HasNews() || now.Sub(lastSent) >= maxViewInterval {
 			lastSent = now
 			sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 			err := c.SendView(sendCtx, v)
@@ -289,6 +294,7 @@
 		e.cacheLocations.RecordReport(cachelocation.Location{Subject: location.Subject, Engine: location.Engine}, now)
 	}
 	e.applyCrashes(v.Crashes, now)
+	e.applyRateLimits(v.RateLimits, now)
 	for _, l := range v.Loads {
 		if m := e.targets.Boot(l.Target); m != nil {
 			m.Work().SetPeer(v.Node, registry.Load{Prefill: l.Prefill, YieldingPrefill: l.YieldingPrefill, Running: l.Running, Tokens: l.Tokens, Bodies: l.Bodies})
@@ -308,6 +314,57 @@
 	}
 }
 
+// rateLimitsSince returns the rate limits of targets that differ from those in sent, and
+// adds them to sent. Instances report what they hear from others too, so that all of them
+// learn of a limit.
+func (e *Exchange) rateLimitsSince(sent map[ragworthitch.Boot]ratelimit.Report, now clock.Time) []wire.RateLimit {
+	var out []wire.RateLimit
+	current := map[ragworthitch.Boot]bool{}
+	for _, m := range e.targets.Limited() {
+		boot := m.Target().Boot()
+		r, ok := m.RateLimit().Report(now)
+		if !ok {
+			continue
+		}
+		current[boot] = true
+		if last, ok := sent[boot]; ok && !r.DiffersFrom(last) {
+			continue
+		}
+		sent[boot] = r
+		out = append(out, wire.RateLimit{Target: boot, InForce: r.InForce, Rate: r.Rate, Age: max(0, now.Sub(r.At))})
+	}
+	for boot := range sent {
+		if !current[boot] {
+			delete(sent, boot)
+		}
+	}
+	return out
+}
+
+// applyRateLimits records what a peer reports about rate limits of targets, and forwards
+// what is new.
+func (e *Exchange) applyRateLimits(limits []wire.RateLimit, now clock.Time) {
+	anyNew := false
+	for _, l := range limits {
+		m := e.targets.Boot(l.Target)
+		if m == nil {
+			continue
+		}
+		change := m.ApplyRateLimit(ratelimit.Report{InForce: l.InForce, Rate: l.Rate, At: now.Add(-l.Age)}, now)
+		if change.Changed {
+			anyNew = true
+			e.onRateLimit(m, change)
+		}
+	}
+	if anyNew {
+		e.SendNow()
+	}
+}
+
+// OnRateLimit sets the function that is called when a peer's report changes what is known
+// of a target's rate limit. It must be called before Run.
+func (e *Exchange) OnRateLimit(f func(*registry.Member, ratelimit.Change)) { e.onRateLimit = f }
+
 // waitUpdate waits until updated is closed, d has passed or ctx ends.
 func waitUpdate(ctx context.Context, d time.Duration, updated <-chan struct{}) {
 	t := time.NewTimer(d)
--- a/exchange/peers.go
+++ b/exchange/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/route"
 )
 
@@ -50,6 +51,7 @@
 	} else {
 		e.known[p.Node] = p
 	}
+	e.version++
 	e.changedAt = clock.Now()
 	if e.pendingSince == 0 {
 		e.pendingSince = e.changedAt
@@ -118,6 +120,19 @@
 	return len(e.known) + 1, e.knownAsOf, e.knownAsOf != 0
 }
 
+// Members returns the other entry instances, which share the rate limits of targets with
+// this one.
+func (e *Exchange) Members() ratelimit.Members {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.members.Version != e.version {
+		e.members = ratelimit.Members{Others: slices.Sorted(maps.Keys(e.known)), Version: e.version}
+	}
+	m := e.members
+	m.AsOf, m.Known = e.knownAsOf, e.knownAsOf != 0
+	return m
+}
+
 // updateLinks opens and closes links to match the selected peers. The caller holds
 // e.mu.
 func (e *Exchange) updateLinks() {
@@ -177,6 +192,7 @@
 	defer e.mu.Unlock()
 	if e.known[p.Node] == p {
 		delete(e.known, p.Node)
+		e.version++
 		e.applyPeers()
 	}
 }
--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -37,7 +39,10 @@
 	isProbe         bool                        // the request is quarantined, and this call is its probe
 	targetFilter    func(*registry.Member) bool // selects the targets that may get the call; nil: all
 	noCrashRecorded bool                        // recordNoCrash has been called
-	role            rollout.CallRole            // the call's part in a roll-out of its service
+	heldBack        []*registry.Member          // targets from which their rate limits have kept the call
+	heldBackLogged  bool
+	onlyUnlimited   bool             // the next attempt must not use up a target's rate limit
+	role            rollout.CallRole // the call's part in a roll-out of its service
 }
 
 // remaining returns the time until the call's deadline.
@@ -99,7 +104,7 @@
 	candidates := make([]route.PlainCandidate, len(ms))
 	for i, m := range ms {
 		t := m.Target()
-		candidates[i] = route.PlainCandidate{AcceptsCalls: c.mayReceive(m, now) && !c.tried.has(m), LatencyMs: m.Health().Latency(),
+		candidates[i] = route.PlainCandidate{AcceptsCalls: !c.tried.has(m) && c.mayReceive(m, now), LatencyMs: m.Health().Latency(),
 			ErrorRate: m.Health().ErrorRate(now), Running: m.Work().All().Running, Slots: t.Slots(), Cold: m.IsCold(now),
 			SameZone: t.Zone() == c.h.zone, Loss: c.h.links.Loss(t.Zone(), now), Jitter: rand.Float64()}
 	}
@@ -316,6 +321,11 @@
 // fail rejects a call that certainly did not run, and otherwise answers with the status,
 // which leaves open whether the call ran.
 func (c *activeCall) fail(status int, cause string, err error) {
+	if !c.mayHaveRun && len(c.heldBack) > 0 {
+		c.h.stats.limitedCalls.Inc(1)
+		c.reject(fmt.Sprintf("%s; targets at their rate limits: %s", cause, strings.Join(ids(c.heldBack), " ")), c.limitedRetryAfter())
+		return
+	}
 	if !c.mayHaveRun {
 		c.reject(cause, noTargetRetryAfter)
 		return
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -50,6 +50,7 @@
 		ReplicaAddress string        // address of the replica target to resume from; empty: none
 		ReplicateTo    string        // address of the engine that shall hold a replica of this attempt's KV cache; empty: none
 		Rank           Rank          // priority at a busy engine
+		Permit         ratelimit.Permit
 	}
 
 	// Rank is the priority of an attempt at a busy engine.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -21,6 +21,7 @@
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/pace"
 	"github.com/ragworthitch/ragworthitch/poison"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/rollout"
 	"github.com/ragworthitch/ragworthitch/route"
@@ -68,6 +69,7 @@
 		borrowRetries  func(ctx context.Context, service string)
 		poisonTracker  *poison.Tracker
 		rollouts       *rollout.Tracker
+		rateLimits     *ratelimit.Group
 		claimProbe     func(ctx context.Context, p poison.Probe) bool
 		isReady        func() bool
 		createdAt      clock.Time
@@ -109,6 +111,9 @@
 		PoisonTracker *poison.Tracker
 		// Rollouts tracks the roll-outs of services; nil: none.
 		Rollouts *rollout.Tracker
+		// RateLimits divides the rate limits of targets among the instances; nil: this
+		// instance is alone.
+		RateLimits *ratelimit.Group
 		// AnswerMemory limits the parts of answers that callers have not accepted yet;
 		// nil: no limit.
 		AnswerMemory *admit.Memory
@@ -134,6 +139,9 @@
 	if cfg.Rollouts == nil {
 		cfg.Rollouts = &rollout.Tracker{Log: cfg.Log}
 	}
+	if cfg.RateLimits == nil {
+		cfg.RateLimits = &ratelimit.Group{}
+	}
 	if cfg.ClaimProbe == nil {
 		cfg.ClaimProbe = func(_ context.Context, p poison.Probe) bool { return cfg.PoisonTracker.ClaimProbe(p, 0, clock.Now()) }
 	}
@@ -152,7 +160,7 @@
 		cfg.Started = started
 	}
 	return &Handler{createdAt: clock.Now(), started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
-		rollouts: cfg.Rollouts, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
+		rollouts: cfg.Rollouts, rateLimits: cfg.RateLimits, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
 		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
@@ -75,8 +76,8 @@
 		if dials >= maxDials {
 			return false
 		}
-		m := c.pickPlain(clock.Now())
-		if m == nil || !c.permitAttempt(ctx) {
+		m, permit := c.selectPlain(ctx)
+		if m == nil {
 			return false
 		}
 		dials++
@@ -84,10 +85,11 @@
 		c.h.rollouts.Sent(c.service(), m.Target().Version(), c.role, c.attempts > 0)
 		c.attempts++
 		c.tried.add(m)
-		go func() { results <- c.sendPlainCatchingPanic(ctx, m) }()
+		go func() { results <- c.sendPlainCatchingPanic(ctx, m, permit) }()
 		return true
 	}
-	startAttempt()
+	for !startAttempt() && c.awaitPermit(ctx) {
+	}
 	hedge := time.NewTimer(max(minHedgeDelay, time.Duration(hedgeDelayShare*float64(c.grant.Route.Objective()))))
 	defer hedge.Stop()
 	var lastFailure *attemptResult // an answer with an error status, sent to the caller if no attempt succeeds
@@ -115,9 +117,11 @@
 			}
 			startAttempt()
 		case <-hedge.C:
+			c.onlyUnlimited = true
 			if safe && pending > 0 && startAttempt() {
 				c.h.stats.hedged.Inc(1)
 			}
+			c.onlyUnlimited = false
 		case <-ctx.Done():
 			for pending > 0 { // the attempts end with ctx
 				pending--
@@ -139,6 +143,23 @@
 	c.fail(http.StatusBadGateway, "no target answered", cause)
 }
 
+// selectPlain selects the target of the next attempt and takes what the attempt needs: a
+// retry out of the retry budget, unless it is the first one, and the target's permit. It
+// returns nil if there is no target.
+func (c *activeCall) selectPlain(ctx context.Context) (*registry.Member, ratelimit.Permit) {
+	for range maxSelections {
+		m := c.pickPlain(clock.Now())
+		if m == nil || !c.permitAttempt(ctx) {
+			return nil, ratelimit.Permit{}
+		}
+		if permit, ok := c.takePermit(m); ok {
+			return m, permit
+		}
+		c.retryReserved = c.attempts > 0 // for the next selection
+	}
+	return nil, ratelimit.Permit{}
+}
+
 // closeAll ends the next n attempts whose results arrive.
 func closeAll(results <-chan attemptResult, n int) {
 	for range n {
@@ -172,9 +193,9 @@
 }
 
 // sendPlainCatchingPanic is like sendPlain and returns a panic as an error.
-func (c *activeCall) sendPlainCatchingPanic(ctx context.Context, m *registry.Member) attemptResult {
+func (c *activeCall) sendPlainCatchingPanic(ctx context.Context, m *registry.Member, permit ratelimit.Permit) attemptResult {
 	result := attemptResult{member: m}
-	if err := c.h.catchPanic(c.call.ID, func() { result = c.sendPlain(ctx, m) }); err != nil {
+	if err := c.h.catchPanic(c.call.ID, func() { result = c.sendPlain(ctx, m, permit) }); err != nil {
 		result.err = err
 	}
 	return result
@@ -182,7 +203,7 @@
 
 // sendPlain sends the call to m and reads the whole answer. The attempt is cancelled when
 // the target's boot ends.
-func (c *activeCall) sendPlain(parent context.Context, m *registry.Member) attemptResult {
+func (c *activeCall) sendPlain(parent context.Context, m *registry.Member, permit ratelimit.Permit) attemptResult {
 	startedAt := clock.Now()
 	_, endWork := m.Work().Begin(0, 0)
 	dropBody := m.Work().AddBody(len(c.call.Body))
@@ -204,7 +225,7 @@
 			result.end()
 		}
 	}()
-	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt)}
+	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt), Permit: permit}
 	result.reply, result.err = c.send(ctx, r)
 	if result.err == nil {
 		result.body, result.rest, result.err = readStart(result.reply.Body)
--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -2,19 +2,97 @@
 
 import (
 	"context"
-
-	"github.com/rs/zerolog"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/upstream"
+)
+
+const (
+	// permitWaitShare of the latency objective is how long a call waits for a permit. The
+	// answer can then still be in time.
+	permitWaitShare = 0.5
+	// limitedRetryMinShare and limitedRetryMaxShare of the caller's timeout bound the
+	// Retry-After of calls that rate limits keep from all targets. The range is wide, so
+	// that the retries come one after the other.
+	limitedRetryMinShare = 0.05
+	limitedRetryMaxShare = 0.25
+	// maxSelections is how often a target is selected for one attempt, as another call may
+	// take the permit in the meantime.
+	maxSelections = 3
 )
 
+// errNoPermit means that an attempt was not sent because it has no permit.
+var errNoPermit = fmt.Errorf("%w: attempt without a permit", upstream.ErrNotSent)
+
+// hasPermit reports whether the target's rate limit allows this instance an attempt now.
+func (c *activeCall) hasPermit(m *registry.Member, now clock.Time) bool {
+	if !m.RateLimit().Active() || !c.onlyUnlimited && c.h.rateLimits.Available(m.RateLimit(), m.Target().ID(), now) {
+		return true
+	}
+	if !slices.Contains(c.heldBack, m) {
+		c.heldBack = append(c.heldBack, m)
+	}
+	return false
+}
+
+// takePermit takes the permit for an attempt at m, if there is still one.
+func (c *activeCall) takePermit(m *registry.Member) (ratelimit.Permit, bool) {
+	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), clock.Now())
+	if ok && len(c.heldBack) > 0 && !c.heldBackLogged {
+		c.heldBackLogged = true
+		c.h.log.Info().Str("request", c.call.ID).Str("service", c.service()).Strs("limited", ids(c.heldBack)).Str("target", m.Target().ID()).
+			Msg("ratelimit: call kept from limited targets")
+	}
+	return permit, ok
+}
+
+func ids(ms []*registry.Member) []string {
+	out := make([]string, len(ms))
+	for i, m := range ms {
+		out[i] = m.Target().ID()
+	}
+	return out
+}
+
+// awaitPermit waits for the next permit of a target that the call was kept from, and
+// reports whether there is one soon enough for the call to be in time.
+func (c *activeCall) awaitPermit(ctx context.Context) bool {
+	now := clock.Now()
+	maxWait := time.Duration(permitWaitShare*float64(c.grant.Route.Objective())) - now.Sub(c.call.Received)
+	shortest, found := maxWait, false
+	for _, m := range c.heldBack {
+		if wait, ok := c.h.rateLimits.Wait(m.RateLimit(), m.Target().ID(), now, maxWait); ok && wait <= shortest {
+			shortest, found = wait, true
+		}
+	}
+	return found && clock.Sleep(ctx, max(shortest, time.Millisecond))
+}
+
+// limitedRetryAfter returns the time after which to retry a call that rate limits kept
+// from all targets.
+func (c *activeCall) limitedRetryAfter() time.Duration {
+	if c.call.Timeout == 0 {
+		return noTargetRetryAfter
+	}
+	share := limitedRetryMinShare + (limitedRetryMaxShare-limitedRetryMinShare)*rand.Float64()
+	return time.Duration(share * float64(c.call.Timeout))
+}
+
 // send sends an attempt to its target, and records what the answer says about the target's
-// rate limit.
+// rate limit. All attempts pass here, and none is sent without a permit.
 func (c *activeCall) send(ctx context.Context, r *AttemptRequest) (*Reply, error) {
+	if !r.Permit.Granted() {
+		c.h.log.Error().Str("request", c.call.ID).Str("target", r.Target.ID()).Msg("ratelimit: attempt without a permit not sent")
+		return nil, errNoPermit
+	}
 	sentAt := clock.Now()
-	if _, ok := r.Member.RateLimit().Rate(); ok {
+	if r.Member.RateLimit().Active() {
 		c.h.stats.limitedAttempts.Inc(1)
 	}
 	reply, err := c.h.sender.Send(ctx, r)
@@ -26,20 +104,27 @@
 
 // observeRateLimit records and logs what an answer says about its target's rate limit.
 func (c *activeCall) observeRateLimit(m *registry.Member, reply *Reply, sentAt clock.Time) {
-	change := m.RateLimit().Observe(ratelimit.Answer{Statement: reply.RateLimit, Successful: reply.Status/100 == 2, SentAt: sentAt, ReceivedAt: clock.Now()})
-	switch {
-	case reply.RateLimit.Kind == ratelimit.Unreadable:
-		c.logRateLimit(m, reply, change).Msg("ratelimit: target names an unreadable rate limit; ignored")
-	case change.Changed && change.InForce:
-		c.logRateLimit(m, reply, change).Msg("ratelimit: target names a rate limit")
-	case change.Changed:
-		c.logRateLimit(m, reply, change).Msg("ratelimit: target no longer names a rate limit")
+	change := m.ObserveRateLimit(ratelimit.Answer{Statement: reply.RateLimit, Successful: reply.Status/100 == 2, SentAt: sentAt, ReceivedAt: clock.Now()})
+	if reply.RateLimit.Kind == ratelimit.Unreadable {
+		c.h.log.Warn().Str("request", c.call.ID).Str("target", m.Target().ID()).Int("status", reply.Status).
+			Bool("limited", change.InForce).Float64("rate", change.Rate).Msg("ratelimit: target names an unreadable rate limit; ignored")
+	}
+	if change.Changed {
+		c.h.notifyPeers()
+		c.h.LogRateLimit(m, change)
 	}
 }
 
-// logRateLimit returns a log line about an answer that names a rate limit, or no longer does.
-func (c *activeCall) logRateLimit(m *registry.Member, reply *Reply, change ratelimit.Change) *zerolog.Event {
-	t := m.Target()
-	return c.h.log.Info().Str("request", c.call.ID).Str("target", t.ID()).Str("service", t.Service()).Int("status", reply.Status).
-		Bool("limited", change.InForce).Float64("rate", change.Rate).Bool("wasLimited", change.WasInForce).Float64("was", change.Was)
+// LogRateLimit logs a change of a target's rate limit.
+func (h *Handler) LogRateLimit(m *registry.Member, change ratelimit.Change) {
+	message := "ratelimit: target no longer names a rate limit"
+	switch {
+	case change.InForce && change.WasInForce:
+		message = "ratelimit: target names another rate limit"
+	case change.InForce:
+		message = "ratelimit: target names a rate limit"
+	}
+	t, share := m.Target(), h.rateLimits.ShareOf(m.RateLimit(), clock.Now())
+	h.log.Info().Str("target", t.ID()).Int64("started", t.Boot().Started()).Str("service", t.Service()).Float64("rate", change.Rate).Float64("was", change.Was).
+		Str("from", string(change.Source)).Dur("age", change.Age).Int("sharedBy", share.Instances).Float64("ownShare", share.Rate).Msg(message)
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthitch/ragworthitch/cachelocation"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/poison"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
@@ -66,6 +67,9 @@
 		if m == nil && s.failedAttempts > 0 {
 			m, replicaTarget = s.awaitTarget(ctx)
 		}
+		if m == nil && s.failedAttempts == 0 && s.awaitPermit(ctx) {
+			continue
+		}
 		if m == nil {
 			s.abort(ctx, http.StatusBadGateway, "no target available", nil)
 			return
@@ -74,7 +78,11 @@
 			s.reject("cannot end in time", 0)
 			return
 		}
-		a, err := s.runAttempt(ctx, m, replicaTarget)
+		permit, ok := s.takePermit(m)
+		if !ok {
+			continue // another call has taken it
+		}
+		a, err := s.runAttempt(ctx, m, replicaTarget, permit)
 		if err == nil {
 			s.recordNoCrash()
 			s.recordAnswer(m, http.StatusOK)
@@ -106,7 +114,7 @@
 // attempt resumes from a replica there, otherwise nil.
 func (s *stream) nextTarget() (m, replicaTarget *registry.Member) {
 	now := clock.Now()
-	if target := s.replicaTarget(); target != nil && target.AcceptsCalls(now) {
+	if target := s.replicaTarget(); target != nil && target.AcceptsCalls(now) && s.hasPermit(target, now) {
 		return target, target
 	}
 	if m := s.pickEngine(now, nil, s.tried.list()...); m != nil {
@@ -176,11 +184,11 @@
 
 // runAttempt makes one attempt and forwards its events. It returns nil when the caller has
 // the complete stream, or another answer in its place.
-func (s *stream) runAttempt(parent context.Context, member, replicaTarget *registry.Member) (*attempt, error) {
+func (s *stream) runAttempt(parent context.Context, member, replicaTarget *registry.Member, permit ratelimit.Permit) (*attempt, error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel() // closes the connection, so that the target stops its work
 	now := clock.Now()
-	r := &AttemptRequest{Call: s.call, Target: member.Target(), Member: member, Org: s.grant.Org, Remaining: s.remaining(now), Rank: s.rank(member)}
+	r := &AttemptRequest{Call: s.call, Target: member.Target(), Member: member, Org: s.grant.Org, Remaining: s.remaining(now), Rank: s.rank(member), Permit: permit}
 	if s.lastID > 0 {
 		r.ResumeOffset = strconv.FormatInt(s.lastID, 10)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -31,6 +31,7 @@
 	"github.com/ragworthitch/ragworthitch/lend"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/poison"
+	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/relay"
 	"github.com/ragworthitch/ragworthitch/rollout"
@@ -129,8 +130,9 @@
 	i.relay = &relay.Server{Tables: i.caches(), Draining: i.isDraining, SaveLocations: i.locations.addFromPeer, Log: log}
 	i.budget = budget.New(budget.Limit{Ratio: bounds.BudgetRatio, Extra: bounds.BudgetExtra, Window: bounds.BudgetWindow}, i.peers.InstanceCount)
 	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Budget: i.budget, Log: log}
+	i.peers.OnRateLimit(func(m *registry.Member, c ratelimit.Change) { i.handler.LogRateLimit(m, c) })
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
-		Sender: platform.Sender{}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, ClaimProbe: i.claimProbe,
+		Sender: platform.Sender{}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members}, ClaimProbe: i.claimProbe,
 		AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
 	return i
 }
--- a/wire/view.go
+++ b/wire/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -19,6 +20,9 @@
 // maxViewFrame bounds a frame in bytes; a thousand targets fit.
 const maxViewFrame = 128 << 10
 
+// maxRateLimitAge bounds RateLimit.Age.
+const maxRateLimitAge = 24 * time.Hour
+
 type (
 	// View reports the load of an entry instance at the targets, as changes since
 	// its last view on the same connection. Views are not answered.
@@ -27,6 +31,15 @@
 		Loads          []TargetLoad
 		CacheLocations []CacheLocation
 		Crashes        []poison.Crash
+		RateLimits     []RateLimit
+	}
+
+	// RateLimit is what an instance knows of a target's rate limit.
+	RateLimit struct {
+		Target  ragworthitch.Boot
+		InForce bool
+		Rate    float64       // requests a second from all instances together
+		Age     time.Duration // of the target's answer that shows it
 	}
 
 	// CacheLocation is a cache location: the engine that holds a prompt's KV cache.
@@ -57,6 +70,16 @@
 		P []cacheLocationFrame `cbor:"3,keyasint,omitempty"`
 		D []crashFrame         `cbor:"4,keyasint,omitempty"`
 		B []bodiesFrame        `cbor:"5,keyasint,omitempty"`
+		R []rateLimitFrame     `cbor:"6,keyasint,omitempty"`
+	}
+
+	rateLimitFrame struct {
+		_ struct{} `cbor:",toarray"`
+		T string
+		B int64
+		I bool
+		R float64
+		A int64 // milliseconds
 	}
 
 	// bodiesFrame holds TargetLoad.Bodies of the load with an index. It is apart from
@@ -99,6 +122,11 @@
 	}
 )
 
+// HasNews reports whether the view says anything but that the instance is there.
+func (v View) HasNews() bool {
+	return len(v.Loads) > 0 || len(v.CacheLocations) > 0 || len(v.Crashes) > 0 || len(v.RateLimits) > 0
+}
+
 // EncodeView maps a view to its CBOR frame.
 func EncodeView(v View) ([]byte, error) {
 	f := viewFrame{N: v.Node}
@@ -108,7 +136,7 @@
 		}
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.YieldingPrefill, R: l.Running, K: l.Tokens, G: l.EventInterval.Microseconds()})
 	}
-	f.P, f.D = encodeCacheLocations(v.CacheLocations), encodeCrashes(v.Crashes)
+	f.P, f.D, f.R = encodeCacheLocations(v.CacheLocations), encodeCrashes(v.Crashes), encodeRateLimits(v.RateLimits)
 	return cbor.Marshal(f)
 }
 
@@ -131,6 +159,25 @@
 	return out, nil
 }
 
+func encodeRateLimits(limits []RateLimit) []rateLimitFrame {
+	var out []rateLimitFrame
+	for _, l := range limits {
+		out = append(out, rateLimitFrame{T: l.Target.ID(), B: l.Target.Started(), I: l.InForce, R: l.Rate, A: l.Age.Milliseconds()})
+	}
+	return out
+}
+
+func decodeRateLimits(frames []rateLimitFrame) ([]RateLimit, error) {
+	var out []RateLimit
+	for _, f := range frames {
+		if !(f.R >= 0) || math.IsInf(f.R, 0) || f.A < 0 || f.A > maxRateLimitAge.Milliseconds() {
+			return nil, fmt.Errorf("%w: rate limit of %v, %d ms old", ErrBadFrame, f.R, f.A)
+		}
+		out = append(out, RateLimit{Target: ragworthitch.NewBoot(f.T, f.B), InForce: f.I, Rate: f.R, Age: time.Duration(f.A) * time.Millisecond})
+	}
+	return out, nil
+}
+
 func encodeCacheLocations(locations []CacheLocation) []cacheLocationFrame {
 	var out []cacheLocationFrame
 	for _, l := range locations {
@@ -168,6 +215,9 @@
 	if v.Crashes, err = decodeCrashes(f.D); err != nil {
 		return View{}, err
 	}
+	if v.RateLimits, err = decodeRateLimits(f.R); err != nil {
+		return View{}, err
+	}
 	return v, nil
 }
 
