--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -105,20 +105,21 @@
 // observeRateLimit records and logs what an answer says about its target's rate limit.
 func (c *activeCall) observeRateLimit(m *registry.Member, reply *Reply, sentAt clock.Time) {
 	change := m.ObserveRateLimit(ratelimit.Answer{Statement: reply.RateLimit, Successful: reply.Status/100 == 2, SentAt: sentAt, ReceivedAt: clock.Now()})
-	if reply.RateLimit.Kind == ratelimit.Unreadable {
-		c.h.log.Warn().Str("request", c.call.ID).Str("target", m.Target().ID()).Int("status", reply.Status).
-			Bool("limited", change.InForce).Float64("rate", change.Rate).Msg("ratelimit: target names an unreadable rate limit; ignored")
-	}
 	if change.Changed {
 		c.h.notifyPeers()
-		c.h.LogRateLimit(m, change)
 	}
+	c.h.LogRateLimit(m, change)
 }
 
-// LogRateLimit logs a change of a target's rate limit.
+// LogRateLimit logs a change of a target's rate limit, at a bounded rate for each target.
 func (h *Handler) LogRateLimit(m *registry.Member, change ratelimit.Change) {
+	if !change.Log {
+		return
+	}
 	message := "ratelimit: target no longer names a rate limit"
 	switch {
+	case change.Unreadable:
+		message = "ratelimit: target names an unreadable rate limit; ignored"
 	case change.InForce && change.WasInForce:
 		message = "ratelimit: target names another rate limit"
 	case change.InForce:
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -26,6 +26,9 @@
 	rampTime     = 4 * time.Second
 	rampDoubling = 500 * time.Millisecond
 	minRampRate  = 1.0
+	// logInterval is the least time between two log lines about a limit, as a target may
+	// name another one in each answer.
+	logInterval = time.Second
 )
 
 // Kinds of Statement.
@@ -79,6 +82,8 @@
 	// Change is how an answer or a report changed what is known of a limit.
 	Change struct {
 		Changed    bool
+		Log        bool // Changed or Unreadable, and not the next within logInterval
+		Unreadable bool
 		InForce    bool // there is a limit now
 		WasInForce bool
 		Rate, Was  float64 // requests a second, after and before
@@ -97,6 +102,7 @@
 		sentAt  clock.Time // when the request was sent whose answer named rate
 		namedAt clock.Time // when a limit was last named, as far as is known; 0: never
 		endedAt clock.Time // when the last limit ended; 0: never
+		logAt   clock.Time // when Change.Log was last set; 0: never
 		permits permits
 	}
 )
@@ -116,7 +122,8 @@
 	case a.Statement.Kind == None && a.Successful && l.inForce && a.SentAt > l.namedAt:
 		l.end(a.SentAt)
 	}
-	return l.finish(c)
+	c.Unreadable = a.Statement.Kind == Unreadable
+	return l.finish(c, a.ReceivedAt)
 }
 
 // Apply records what a peer reports about the limit, unless something newer is known.
@@ -131,7 +138,7 @@
 	case newer && l.inForce:
 		l.end(r.At)
 	}
-	return l.finish(c)
+	return l.finish(c, now)
 }
 
 // name records that the target named a limit; l.mu is held.
@@ -149,9 +156,13 @@
 // begin and finish return the change between them; l.mu is held.
 func (l *Limit) begin(s Source) Change { return Change{Source: s, WasInForce: l.inForce, Was: l.rate} }
 
-func (l *Limit) finish(c Change) Change {
+func (l *Limit) finish(c Change, now clock.Time) Change {
 	c.InForce, c.Rate = l.inForce, l.rate
 	c.Changed = c.InForce != c.WasInForce || c.InForce && c.Rate != c.Was
+	c.Log = (c.Changed || c.Unreadable) && (l.logAt == 0 || now.Sub(l.logAt) >= logInterval)
+	if c.Log {
+		l.logAt = now
+	}
 	return c
 }
 
--- a/ratelimit/limit_test.go
+++ b/ratelimit/limit_test.go
@@ -56,3 +56,53 @@
 }
 
 func atMs(ms int) clock.Time { return clock.Time(time.Hour).Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against reports of peers that undo what is known more recently, and against ends
+// that are not heard of.
+func TestApply(t *testing.T) {
+	now := atMs(1000)
+	var l Limit
+	assert.True(t, l.Apply(Report{InForce: true, Rate: 4, At: atMs(0)}, now).Changed)
+	assert.False(t, l.Apply(Report{InForce: false, At: atMs(-10)}, now).Changed, "an end before the limit was named")
+	assert.False(t, l.Apply(Report{InForce: true, Rate: 9, At: atMs(-5)}, now).Changed, "an older figure")
+	assert.True(t, l.Apply(Report{InForce: true, Rate: 5, At: atMs(5)}, now).Changed)
+	assert.True(t, l.Apply(Report{InForce: false, At: atMs(10)}, now).Changed)
+	assert.False(t, l.Apply(Report{InForce: true, Rate: 5, At: atMs(7)}, now).Changed, "named before the end")
+	_, ok := l.Rate()
+	assert.False(t, ok)
+}
+
+// Guards against a limit whose end lets all instances back at once, and against one that is
+// kept for good: it rises step by step, then ends.
+func TestLimitRisesAfterEnd(t *testing.T) {
+	var l Limit
+	var g Group
+	l.Observe(Answer{Statement: Statement{Kind: Named, Rate: 4}, SentAt: atMs(0), ReceivedAt: atMs(10)})
+	l.Observe(Answer{Successful: true, SentAt: atMs(1000), ReceivedAt: atMs(1010)})
+	var before float64
+	for ms := 1010; ms < 4900; ms += 100 {
+		s := g.ShareOf(&l, atMs(ms))
+		assert.Greater(t, s.Rate, before, "after %d ms", ms-1000)
+		if before > 0 {
+			assert.Less(t, s.Rate, 1.2*before)
+		}
+		before = s.Rate
+	}
+	assert.True(t, g.Available(&l, "t", atMs(5100)))
+	assert.False(t, l.Active())
+}
+
+// Guards against a target that is sent nothing at all, so that nobody hears of the end of
+// its limit.
+func TestLimitOfZeroIsProbed(t *testing.T) {
+	var l Limit
+	var g Group
+	l.Observe(Answer{Statement: Statement{Kind: Named}, SentAt: atMs(0), ReceivedAt: atMs(0)})
+	taken := 0
+	for ms := 0; ms < 60_000; ms += 100 {
+		if _, ok := g.Take(&l, "t", atMs(ms)); ok {
+			taken++
+		}
+	}
+	assert.InDelta(t, 6, taken, 1)
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -96,6 +97,7 @@
 func TestViewRoundTrip(t *testing.T) {
 	for _, v := range []View{
 		{Node: "a"},
+		{Node: "a", RateLimits: []RateLimit{{Target: ragworthitch.NewBoot("i-1", 1767312000123), InForce: true, Rate: 4.4, Age: 70 * time.Millisecond}, {Target: ragworthitch.NewBoot("i-2", 0)}}},
 		{Node: "a", Loads: []TargetLoad{{Target: ragworthitch.NewBoot("i-1", 1767312000123), Prefill: 8200, YieldingPrefill: 300, Running: 3, Tokens: 27000, EventInterval: 29040 * time.Microsecond}, {Target: ragworthitch.NewBoot("i-2", 0)}},
 			CacheLocations: []CacheLocation{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
 			Crashes:        []poison.Crash{{Fingerprint: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", InOutage: true, RecentSuccesses: 3, Org: "o", Service: "llm", Version: "v1"}}},
@@ -106,6 +108,12 @@
 		require.NoError(t, err)
 		assert.Equal(t, v, got)
 	}
+	for _, r := range []rateLimitFrame{{R: math.NaN()}, {R: math.Inf(1)}, {R: -1}, {A: -1}, {A: math.MaxInt64}} {
+		b, err := cbor.Marshal(viewFrame{N: "a", R: []rateLimitFrame{r}})
+		require.NoError(t, err)
+		_, err = DecodeView(b)
+		require.ErrorIs(t, err, ErrBadFrame, "%+v", r)
+	}
 	short, err := cbor.Marshal(viewFrame{N: "a", D: []crashFrame{{F: []byte{1}, T: "i-1"}}})
 	require.NoError(t, err)
 	for _, b := range [][]byte{{0xff, 0x00}, short} {
