ratelimit: lend spare permits, and first callers first where all targets are limited

Cause, by its counts: nearly half of the permits went to callers that came back after a rejection, too late to be in time; and an instance with few calls left its part unused.

Now a permit is kept for 100 ms for callers that have not waited elsewhere, of the most urgent priority; then returning callers, retries and other instances may have it. An instance without a permit asks up to five others (lend, which served retries only, lends out of any pool). A lent permit counts at the lender.

--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -41,6 +41,8 @@
 	noCrashRecorded bool                        // recordNoCrash has been called
 	heldBack        []*registry.Member          // targets from which their rate limits have kept the call
 	heldBackLogged  bool
+	urgent          *bool            // the call comes before others at limited targets; nil: not determined yet
+	borrowed        bool             // a permit was asked of other instances
 	onlyUnlimited   bool             // the next attempt must not use up a target's rate limit
 	role            rollout.CallRole // the call's part in a roll-out of its service
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -67,6 +67,8 @@
 		targetWait     time.Duration
 		notifyPeers    func()
 		borrowRetries  func(ctx context.Context, service string)
+		borrowPermits  func(ctx context.Context, m *registry.Member)
+		urgency        urgency
 		poisonTracker  *poison.Tracker
 		rollouts       *rollout.Tracker
 		rateLimits     *ratelimit.Group
@@ -107,6 +109,9 @@
 		// BorrowRetries requests retries of a service from peers for the retry budget and
 		// returns when the requests have completed; nil: no peers.
 		BorrowRetries func(ctx context.Context, service string)
+		// BorrowPermits requests permits of a target with a rate limit from peers and
+		// returns when the requests have completed; nil: no peers.
+		BorrowPermits func(ctx context.Context, m *registry.Member)
 		// PoisonTracker tracks poison requests; nil: a tracker of this handler's own.
 		PoisonTracker *poison.Tracker
 		// Rollouts tracks the roll-outs of services; nil: none.
@@ -133,6 +138,9 @@
 	if cfg.BorrowRetries == nil {
 		cfg.BorrowRetries = func(context.Context, string) {}
 	}
+	if cfg.BorrowPermits == nil {
+		cfg.BorrowPermits = func(context.Context, *registry.Member) {}
+	}
 	if cfg.PoisonTracker == nil {
 		cfg.PoisonTracker = &poison.Tracker{Log: cfg.Log, Scope: cfg.Scope}
 	}
@@ -159,7 +167,7 @@
 		close(started)
 		cfg.Started = started
 	}
-	return &Handler{createdAt: clock.Now(), started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, poisonTracker: cfg.PoisonTracker,
+	return &Handler{createdAt: clock.Now(), started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, borrowPermits: cfg.BorrowPermits, poisonTracker: cfg.PoisonTracker,
 		rollouts: cfg.Rollouts, rateLimits: cfg.RateLimits, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
 		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/ratelimit"
 	"github.com/ragworthitch/ragworthitch/registry"
@@ -32,7 +33,7 @@
 
 // hasPermit reports whether the target's rate limit allows this instance an attempt now.
 func (c *activeCall) hasPermit(m *registry.Member, now clock.Time) bool {
-	if !m.RateLimit().Active() || !c.onlyUnlimited && c.h.rateLimits.Available(m.RateLimit(), m.Target().ID(), now) {
+	if !m.RateLimit().Active() || !c.onlyUnlimited && c.h.rateLimits.Available(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now) {
 		return true
 	}
 	if !slices.Contains(c.heldBack, m) {
@@ -43,7 +44,8 @@
 
 // takePermit takes the permit for an attempt at m, if there is still one.
 func (c *activeCall) takePermit(m *registry.Member) (ratelimit.Permit, bool) {
-	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), clock.Now())
+	now := clock.Now()
+	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)
 	if ok && len(c.heldBack) > 0 && !c.heldBackLogged {
 		c.heldBackLogged = true
 		c.h.log.Info().Str("request", c.call.ID).Str("service", c.service()).Strs("limited", ids(c.heldBack)).Str("target", m.Target().ID()).
@@ -52,6 +54,17 @@
 	return permit, ok
 }
 
+// isUrgent reports whether the call comes before others where rate limits keep calls back:
+// its first attempts do, if its priority is the most urgent one of late. Retries use what is
+// left. A stream that has begun goes on.
+func (c *activeCall) isUrgent(now clock.Time) bool {
+	if c.urgent == nil {
+		first := c.h.urgency.isFirst(c.service(), c.grant.Route.Name(), c.grant.Priority, c.call.Timeout, now)
+		c.urgent = &first
+	}
+	return *c.urgent && (c.attempts == 0 || c.grant.Route.Kind() == ragworthitch.CallStream)
+}
+
 func ids(ms []*registry.Member) []string {
 	out := make([]string, len(ms))
 	for i, m := range ms {
@@ -60,9 +73,20 @@
 	return out
 }
 
-// awaitPermit waits for the next permit of a target that the call was kept from, and
-// reports whether there is one soon enough for the call to be in time.
+// awaitPermit borrows a permit of a target that the call was kept from, or waits for the
+// next one. It reports whether there is one soon enough for the call to be in time.
 func (c *activeCall) awaitPermit(ctx context.Context) bool {
+	if len(c.heldBack) == 0 || !c.isUrgent(clock.Now()) {
+		return false
+	}
+	if !c.borrowed {
+		c.borrowed = true
+		m := c.heldBack[rand.IntN(len(c.heldBack))]
+		c.h.borrowPermits(ctx, m)
+		if c.h.rateLimits.Available(m.RateLimit(), m.Target().ID(), true, clock.Now()) {
+			return true
+		}
+	}
 	now := clock.Now()
 	maxWait := time.Duration(permitWaitShare*float64(c.grant.Route.Objective())) - now.Sub(c.call.Received)
 	shortest, found := maxWait, false
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -100,6 +100,7 @@
 	recovery       discovery.RecoverySignal
 	relay          *relay.Server
 	budget         *budget.Budget
+	permits        ratelimit.Pool // of targets with a rate limit
 	locations      locationBuffer // cache locations to write to the store
 	poisonTracker  poison.Tracker
 	rollouts       rollout.Tracker
@@ -129,10 +130,14 @@
 	i.locations.cacheLocations = &i.cacheLocations
 	i.relay = &relay.Server{Tables: i.caches(), Draining: i.isDraining, SaveLocations: i.locations.addFromPeer, Log: log}
 	i.budget = budget.New(budget.Limit{Ratio: bounds.BudgetRatio, Extra: bounds.BudgetExtra, Window: bounds.BudgetWindow}, i.peers.InstanceCount)
-	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Budget: i.budget, Log: log}
+	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.budget, Path: wire.LoanPath, Name: "retries", Log: log}
+	i.permits = ratelimit.Pool{Group: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members}, Find: i.findLimit}
+	permitBorrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.permits, Path: wire.PermitLoanPath, Name: "permits", Log: log}
 	i.peers.OnRateLimit(func(m *registry.Member, c ratelimit.Change) { i.handler.LogRateLimit(m, c) })
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
-		Sender: platform.Sender{}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members}, ClaimProbe: i.claimProbe,
+		Sender: platform.Sender{}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: i.permits.Group, BorrowPermits: func(ctx context.Context, m *registry.Member) {
+			permitBorrower.Borrow(ctx, permitKey(m.Target().Boot()))
+		}, ClaimProbe: i.claimProbe,
 		AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
 	return i
 }
@@ -243,7 +248,8 @@
 	r := httprouter.New()
 	r.Handler(http.MethodGet, wire.ViewPath, i.peers)
 	r.Handler(http.MethodGet, wire.TablePath, i.relay)
-	r.Handler(http.MethodGet, wire.LoanPath, &lend.Lender{Budget: i.budget, Log: i.log})
+	r.Handler(http.MethodGet, wire.LoanPath, &lend.Lender{Pool: i.budget, Name: "retries", Log: i.log})
+	r.Handler(http.MethodGet, wire.PermitLoanPath, &lend.Lender{Pool: i.permits, Name: "permits", Log: i.log})
 	if i.metrics != nil {
 		r.Handler(http.MethodGet, metricsPath, i.metrics)
 	}
--- a/lend/lend.go
+++ b/lend/lend.go
@@ -1,8 +1,8 @@
-// Package lend lends retries between entry instances. Each instance has its own
-// part of the retry budget, but failures are uneven: in a zone outage the instances
-// of that zone need several times their part, while the others need none. An
-// instance without retries borrows from instances in other zones; the lender counts
-// what it lends as used, so that the budget holds.
+// Package lend lends retries and permits between entry instances. Each instance has its
+// own part of the retry budget and of targets' rate limits, but the need is uneven: in a
+// zone outage the instances of that zone need several times their part, while the others
+// need none. An instance that has used up its part borrows from others, first from those
+// in other zones; the lender counts what it lends as used, so that the limit holds.
 package lend
 
 import (
@@ -14,16 +14,15 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 const (
-	// retriesPerLoan is the number of retries that a borrower asks for. It covers the
-	// few streams that an instance has in one zone.
-	retriesPerLoan = 4
+	// perLoan is the number that a borrower asks for. It covers the few streams that an
+	// instance has in one zone.
+	perLoan = 4
 	// maxLenders is the number of instances that are asked in a round, one after the
 	// other, until one of them lends.
 	maxLenders = 5
@@ -38,27 +37,38 @@
 )
 
 type (
-	// Lender serves retries out of a budget to other instances.
+	// Pool holds this instance's part of limits that all instances share, such as the
+	// retry budgets of services.
+	Pool interface {
+		// Lend takes up to n out of the part of a limit and returns their number.
+		Lend(of string, n int, now clock.Time) int
+		// Borrowed adds what a peer has lent out of its part.
+		Borrowed(of string, n int, now clock.Time)
+	}
+
+	// Lender serves a pool to other instances.
 	Lender struct {
-		Budget *budget.Budget
-		Log    zerolog.Logger
+		Pool Pool
+		Name string // of what the pool holds, for the log
+		Log  zerolog.Logger
 	}
 
-	// Borrower borrows retries from other instances.
+	// Borrower borrows from other instances.
 	Borrower struct {
-		Zone   string
-		Peers  func() []exchange.Peer
-		Budget *budget.Budget
-		Log    zerolog.Logger
+		Zone  string
+		Peers func() []exchange.Peer
+		Pool  Pool
+		Path  string // where peers serve the pool
+		Name  string // of what the pool holds, for the log
+		Log   zerolog.Logger
 
 		mu        sync.Mutex
-		rounds    map[string]*round     // in progress, by service
-		notBefore map[string]clock.Time // of the next round, by service
+		rounds    map[string]*round     // in progress, by what is borrowed
+		notBefore map[string]clock.Time // of the next round, by what is borrowed
 		conns     map[string]*wire.Conn // idle ones, by address
 	}
 
-	// round is a sequence of requests to lenders for a service's retries; done is
-	// closed at its end.
+	// round is a sequence of requests to lenders; done is closed at its end.
 	round struct{ done chan struct{} }
 )
 
@@ -83,15 +93,15 @@
 	if err != nil {
 		return err
 	}
-	n := l.Budget.Lend(request.Service, request.Retries, clock.Now())
-	l.Log.Info().Str("asker", borrower).Str("service", request.Service).Int("asked", request.Retries).Int("lent", n).Msg("lend: retries lent")
-	return c.SendLoan(ctx, wire.Loan{Service: request.Service, Retries: n})
+	n := l.Pool.Lend(request.Of, request.Count, clock.Now())
+	l.Log.Info().Str("asker", borrower).Str("of", request.Of).Int("asked", request.Count).Int("lent", n).Msg("lend: " + l.Name + " lent")
+	return c.SendLoan(ctx, wire.Loan{Of: request.Of, Count: n})
 }
 
-// Borrow tries to borrow retries of a service and waits for the result. It shares
-// a round that is in progress.
-func (b *Borrower) Borrow(ctx context.Context, service string) {
-	r := b.startRound(service)
+// Borrow tries to borrow and waits for the result. It shares a round that is in
+// progress.
+func (b *Borrower) Borrow(ctx context.Context, of string) {
+	r := b.startRound(of)
 	if r == nil {
 		return
 	}
@@ -103,40 +113,40 @@
 
 // startRound returns the round in progress or starts one. It returns nil within
 // roundInterval after a failed round.
-func (b *Borrower) startRound(service string) *round {
+func (b *Borrower) startRound(of string) *round {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r := b.rounds[service]; r != nil {
+	if r := b.rounds[of]; r != nil {
 		return r
 	}
-	if clock.Now() < b.notBefore[service] {
+	if clock.Now() < b.notBefore[of] {
 		return nil
 	}
 	if b.rounds == nil {
 		b.rounds, b.notBefore, b.conns = map[string]*round{}, map[string]clock.Time{}, map[string]*wire.Conn{}
 	}
 	r := &round{done: make(chan struct{})}
-	b.rounds[service] = r
-	go b.runRound(service, r)
+	b.rounds[of] = r
+	go b.runRound(of, r)
 	return r
 }
 
 // runRound asks one instance after the other until one of them lends.
-func (b *Borrower) runRound(service string, r *round) {
+func (b *Borrower) runRound(of string, r *round) {
 	lent := 0
 	for _, p := range b.candidates() {
-		n, err := b.borrowFrom(p, service)
-		b.Log.Info().Str("peer", p.Node).Str("peerZone", p.Zone).Str("service", service).Int("lent", n).AnErr("error", err).Msg("lend: retries borrowed")
+		n, err := b.borrowFrom(p, of)
+		b.Log.Info().Str("peer", p.Node).Str("peerZone", p.Zone).Str("of", of).Int("lent", n).AnErr("error", err).Msg("lend: " + b.Name + " borrowed")
 		if lent = n; n > 0 {
-			b.Budget.Borrowed(service, n, clock.Now())
+			b.Pool.Borrowed(of, n, clock.Now())
 			break
 		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.rounds, service)
+	delete(b.rounds, of)
 	if lent == 0 {
-		b.notBefore[service] = clock.Now().Add(roundInterval)
+		b.notBefore[of] = clock.Now().Add(roundInterval)
 	}
 	close(r.done)
 }
@@ -162,16 +172,16 @@
 	rand.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
 }
 
-// borrowFrom asks one instance and returns the number of retries that it has lent.
+// borrowFrom asks one instance and returns the number that it has lent.
 // A loan whose reply doesn't arrive in time is lost.
-func (b *Borrower) borrowFrom(p exchange.Peer, service string) (int, error) {
+func (b *Borrower) borrowFrom(p exchange.Peer, of string) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), lenderTimeout)
 	defer cancel()
 	c, err := b.takeConn(ctx, p.Addr)
 	if err != nil {
 		return 0, err
 	}
-	n, err := c.Borrow(ctx, wire.Loan{Service: service, Retries: retriesPerLoan})
+	n, err := c.Borrow(ctx, wire.Loan{Of: of, Count: perLoan})
 	if err != nil {
 		c.CloseNow()
 		return 0, err
@@ -189,7 +199,7 @@
 	if c != nil {
 		return c, nil
 	}
-	return wire.DialLoan(ctx, addr)
+	return wire.DialLoan(ctx, addr, b.Path)
 }
 
 // putConn keeps a connection for the next request to its address.
--- a/lend/lend_test.go
+++ b/lend/lend_test.go
@@ -15,6 +15,7 @@
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/exchange"
+	"github.com/ragworthitch/ragworthitch/wire"
 )
 
 const service = "llm"
@@ -31,7 +32,7 @@
 
 // peer starts an instance that lends retries of b.
 func peer(t *testing.T, node, zone string, b *budget.Budget) exchange.Peer {
-	srv := httptest.NewServer(&Lender{Budget: b, Log: zerolog.Nop()})
+	srv := httptest.NewServer(&Lender{Pool: b, Log: zerolog.Nop()})
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	return exchange.Peer{Node: node, Zone: zone, Addr: strings.TrimPrefix(srv.URL, "http://")}
 }
@@ -42,7 +43,7 @@
 	own, lenderBudget := budget.New(limit, nil), budget.New(limit, nil)
 	perInstance := spendAll(budget.New(limit, nil))
 	far := peer(t, "far", "b", lenderBudget)
-	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Budget: own, Log: zerolog.Nop()}
+	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	used := spendAll(own)
 	assert.Equal(t, perInstance, used)
 	for range 20 {
@@ -59,9 +60,9 @@
 func TestConcurrentBorrow(t *testing.T) {
 	own, lenderBudget := budget.New(budget.Limit{Window: limit.Window}, nil), budget.New(limit, nil)
 	far := peer(t, "far", "b", lenderBudget)
-	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Budget: own, Log: zerolog.Nop()}
+	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	var group sync.WaitGroup
-	for range retriesPerLoan {
+	for range perLoan {
 		group.Go(func() {
 			b.Borrow(t.Context(), service)
 			assert.True(t, own.Spend(service, clock.Now()))
@@ -79,7 +80,7 @@
 	silent := exchange.Peer{Node: "silent", Zone: "b", Addr: ln.Addr().String()}
 	sameZone := peer(t, "near", "a", budget.New(limit, nil))
 	own := budget.New(budget.Limit{Window: limit.Window}, nil)
-	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{sameZone, silent} }, Budget: own, Log: zerolog.Nop()}
+	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{sameZone, silent} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	started := time.Now()
 	b.Borrow(t.Context(), service)
 	assert.Positive(t, spendAll(own))
--- a/ratelimit/group.go
+++ b/ratelimit/group.go
@@ -17,6 +17,9 @@
 	// ringPoints is the number of points that an instance has on the ring. More points
 	// make the parts of the instances more even.
 	ringPoints = 8
+	// spareAfter is how long a permit is kept for urgent calls. Then other calls and other
+	// instances may have it.
+	spareAfter = 100 * time.Millisecond
 	// minRingAge is the least time between two rings, as the list of instances changes
 	// often while many start.
 	minRingAge = 500 * time.Millisecond
@@ -75,17 +78,41 @@
 // Granted reports whether the permit allows an attempt.
 func (p Permit) Granted() bool { return p.granted }
 
-// Available reports whether an attempt may be sent to a target now.
-func (g *Group) Available(l *Limit, target string, now clock.Time) bool {
-	return g.permit(l, target, now, false)
+// Available reports whether an attempt may be sent to a target now. Attempts that are not
+// urgent may use only permits that urgent ones have left.
+func (g *Group) Available(l *Limit, target string, urgent bool, now clock.Time) bool {
+	return g.permit(l, target, urgent, now, false)
 }
 
 // Take takes the permit for an attempt at a target, if there is one.
-func (g *Group) Take(l *Limit, target string, now clock.Time) (Permit, bool) {
-	ok := g.permit(l, target, now, true)
+func (g *Group) Take(l *Limit, target string, urgent bool, now clock.Time) (Permit, bool) {
+	ok := g.permit(l, target, urgent, now, true)
 	return Permit{granted: ok}, ok
 }
 
+// Lend takes up to n permits of a target that are spare, for another instance, and returns
+// their number.
+func (g *Group) Lend(l *Limit, target string, n int, now clock.Time) int {
+	if !l.active.Load() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limited, known := g.prepare(l, target, now); !limited || !known {
+		return 0
+	}
+	lent := 0
+	for lent < n {
+		permit, ok := l.permits.valid(g.sharedTime(now), spareAfter.Seconds(), g.owns(l, target, now))
+		if !ok {
+			break
+		}
+		l.permits.take(permit)
+		lent++
+	}
+	return lent
+}
+
 // Wait returns the time until this instance has its next permit for a target, if that is
 // within the given time.
 func (g *Group) Wait(l *Limit, target string, now clock.Time, within time.Duration) (time.Duration, bool) {
@@ -111,7 +138,7 @@
 }
 
 // permit reports whether there is a permit for a target, and uses it up if take is set.
-func (g *Group) permit(l *Limit, target string, now clock.Time, take bool) bool {
+func (g *Group) permit(l *Limit, target string, urgent bool, now clock.Time, take bool) bool {
 	if !l.active.Load() {
 		return true
 	}
@@ -121,7 +148,17 @@
 	if !limited || !known {
 		return !limited
 	}
-	n, ok := l.permits.valid(g.sharedTime(now), g.owns(l, target, now))
+	if l.borrowed.available(now) {
+		if take {
+			l.borrowed.take()
+		}
+		return true
+	}
+	validFor := spareAfter.Seconds()
+	if urgent {
+		validFor = 0
+	}
+	n, ok := l.permits.valid(g.sharedTime(now), validFor, g.owns(l, target, now))
 	if ok && take {
 		l.permits.take(n)
 	}
--- a/ratelimit/group_test.go
+++ b/ratelimit/group_test.go
@@ -166,7 +166,7 @@
 		if m.c.StaleFrom == 0 || t < seconds(m.c.StaleFrom) {
 			in.members.AsOf = at(t)
 		}
-		if _, ok := in.group.Take(in.limit, "target", at(t)); !ok {
+		if _, ok := in.group.Take(in.limit, "target", true, at(t)); !ok {
 			continue
 		}
 		m.sent = append(m.sent, t)
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -104,6 +104,8 @@
 		endedAt clock.Time // when the last limit ended; 0: never
 		logAt   clock.Time // when Change.Log was last set; 0: never
 		permits permits
+
+		borrowed borrowed
 	}
 )
 
--- a/ratelimit/limit_test.go
+++ b/ratelimit/limit_test.go
@@ -88,7 +88,7 @@
 		}
 		before = s.Rate
 	}
-	assert.True(t, g.Available(&l, "t", atMs(5100)))
+	assert.True(t, g.Available(&l, "t", true, atMs(5100)))
 	assert.False(t, l.Active())
 }
 
@@ -100,7 +100,7 @@
 	l.Observe(Answer{Statement: Statement{Kind: Named}, SentAt: atMs(0), ReceivedAt: atMs(0)})
 	taken := 0
 	for ms := 0; ms < 60_000; ms += 100 {
-		if _, ok := g.Take(&l, "t", atMs(ms)); ok {
+		if _, ok := g.Take(&l, "t", true, atMs(ms)); ok {
 			taken++
 		}
 	}
--- a/ratelimit/schedule.go
+++ b/ratelimit/schedule.go
@@ -81,11 +81,11 @@
 	}
 }
 
-// valid returns the first permit that is valid now and not used yet, if owns tells that it
-// belongs to this instance.
-func (p *permits) valid(now float64, owns func(permit int64) bool) (permit int64, ok bool) {
+// valid returns the first permit that is not used yet, has been valid for the given time in
+// seconds and still is, if owns tells that it belongs to this instance.
+func (p *permits) valid(now, validFor float64, owns func(permit int64) bool) (permit int64, ok bool) {
 	p.next = max(p.next, p.schedule.after(now-p.schedule.validity))
-	for p.schedule.start(p.next) <= now {
+	for p.schedule.start(p.next) <= now-validFor {
 		if owns(p.next) {
 			return p.next, true
 		}
--- a/wire/loan_test.go
+++ b/wire/loan_test.go
@@ -10,7 +10,7 @@
 // DecodeLoan never panics on arbitrary frames, and a decoded loan is within bounds and
 // encodes to an equal one.
 func FuzzLoan(f *testing.F) {
-	for _, l := range []Loan{{}, {Service: "llm", Retries: 4}, {Service: "llm", Retries: -1}, {Retries: maxLoanRetries + 1}} {
+	for _, l := range []Loan{{}, {Of: "llm", Count: 4}, {Of: "llm", Count: -1}, {Count: maxLoanCount + 1}} {
 		b, _ := EncodeLoan(l)
 		f.Add(b)
 	}
@@ -20,8 +20,8 @@
 			require.ErrorIs(t, err, ErrBadFrame)
 			return
 		}
-		assert.GreaterOrEqual(t, l.Retries, 0)
-		assert.LessOrEqual(t, l.Retries, maxLoanRetries)
+		assert.GreaterOrEqual(t, l.Count, 0)
+		assert.LessOrEqual(t, l.Count, maxLoanCount)
 		again, err := EncodeLoan(l)
 		require.NoError(t, err)
 		got, err := DecodeLoan(again)
