soak: targets name rate limits, and the check counts what they get

In every plan a target, or all of a service, names a limit; the draws of the other faults stay as they were.

--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -28,12 +28,19 @@
     "no end in time": ("FINAL", "ingress/handler.go", "	ctx, cancel := context.WithTimeout(ctx, limit)", "	ctx, cancel := context.WithTimeout(ctx, limit+time.Minute)"),
     "the verdict is forgotten at a restart": ("DEADLY", "instance/crashes.go", "	err := platform.CrashWriter{Store: i.store}.Apply(writeCtx, edits[:n])", "	err := writeCtx.Err()"),
     "a bystander is condemned": ("BYSTANDER", "poison/tracker.go", "		quarantine := !t.DryRun && attributed >= threshold && t.recentSuccesses(s.suspect, now) <= maxSuccessesPerCrash*len(s.crashes)", "		quarantine := attributed > 0"),
+    "streams go round rate limits": ("LIMIT", "ingress/rate_limit.go", "	if !m.RateLimit().Active() ||", "	if c.grant.Route.Kind() == ragworthitch.CallStream ||\n		!m.RateLimit().Active() ||",
+        "ingress/rate_limit.go", "	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)", "	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)\n	if !ok && c.grant.Route.Kind() == ragworthitch.CallStream {\n		permit, ok = (&ratelimit.Group{}).Take(&ratelimit.Limit{}, \"\", true, now)\n	}"),
+    "each instance takes the whole rate limit": ("LIMIT", "ratelimit/group.go", "	if g.List == nil {\n		return 1, false", "	if g != nil {\n		return 1, false"),
     "a panic ends the process": ("ALIVE", "health/health.go", "	if s.nextFailure != nil {\n		close(s.nextFailure)\n		s.nextFailure = nil\n	}\n", "	panic(s)\n"),
 }
 
 
 # Bugs that are detected with a plan file instead of seeds.
-PLANS = {"the verdict is forgotten at a restart": "testdata/soak/all-killed-after-verdict.yaml"}
+PLANS = {
+    "the verdict is forgotten at a restart": "testdata/soak/all-killed-after-verdict.yaml",
+    "streams go round rate limits": "testdata/soak/rate-limits.yaml",
+    "each instance takes the whole rate limit": "testdata/soak/rate-limits.yaml",
+}
 
 
 def build(name, folder):
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,8 @@
 	RuleUsage       = "USAGE"    // memory and descriptors stay within limits
 	RuleRecovery    = "BACK"     // calls are served again after the last fault
 
+	RuleRateLimit = "LIMIT" // a target gets no more attempts than the rate limit that it names
+
 	RulePoison    = "DEADLY"    // a request that crashed crashesToQuarantine targets is not sent again
 	RuleBystander = "BYSTANDER" // a request that crashed no target is not quarantined
 )
@@ -96,6 +98,7 @@
 	c.checkReverts()
 	c.checkDraining()
 	c.checkPoison()
+	c.checkRateLimits()
 	c.checkProcesses()
 	c.checkRecovery()
 	slices.SortFunc(c.violations, func(a, b Violation) int { return cmp.Or(cmp.Compare(a.At, b.At), strings.Compare(a.Text, b.Text)) })
@@ -227,10 +230,9 @@
 // call.
 func (c *checker) checkReverts() {
 	served := map[string][]*Call{} // served calls of CallRoute, by process of an instance
-	boot := func(call *Call) string { return fmt.Sprint(call.Entry, "/", call.Boot) }
 	for i := range c.history.Calls {
 		if call := &c.history.Calls[i]; call.Kind == CallRoute && call.Status == http.StatusOK {
-			served[boot(call)] = append(served[boot(call)], call)
+			served[bootOf(call)] = append(served[bootOf(call)], call)
 		}
 	}
 	for i := range c.history.Calls {
@@ -242,7 +244,7 @@
 		if c.mayBeRemoved(call, removesRoute) {
 			continue
 		}
-		for _, earlier := range served[boot(call)] {
+		for _, earlier := range served[bootOf(call)] {
 			if c.routeVersion(earlier.Path) >= c.routeVersion(call.Path) && earlier.EndedAt+int64(revertTolerance) < call.SentAt {
 				c.addViolation(RuleReverted, call.SentAt, "call %s at %s: no route of version %d, though call %s was served by version %d earlier", call.ID, call.Entry,
 					c.routeVersion(call.Path), earlier.ID, c.routeVersion(earlier.Path))
@@ -288,7 +290,7 @@
 // mayInterrupt reports whether a fault may have interrupted a call: a fault of its
 // instance, of a target that ran the call, or of a link between them.
 func (c *checker) mayInterrupt(t InjectedFault, call *Call) bool {
-	if !t.overlaps(call.SentAt-int64(entrySettleTime), call.EndedAt) {
+	if t.Kind == KindRateLimit || !t.overlaps(call.SentAt-int64(entrySettleTime), call.EndedAt) {
 		return false
 	}
 	return t.affects(call.Entry, nodeCallers) || slices.ContainsFunc(c.attempts[call.ID], func(r Record) bool { return t.affects(r.Node, call.Entry) })
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -65,7 +65,7 @@
 		}
 	}
 	for i := range h.Records {
-		toNanoseconds(&h.Records[i].At)
+		toNanoseconds(&h.Records[i].At, &h.Records[i].Until)
 	}
 	for i := range h.Changes {
 		toNanoseconds(&h.Changes[i].SentAt, &h.Changes[i].AckedAt)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -155,6 +155,8 @@
 		return x.pauseProcess(ctx, t.process(), f)
 	case KindLoseAnswers:
 		return x.loseAnswers(ctx, t, f)
+	case KindRateLimit:
+		return x.limitRate(ctx, t, f)
 	}
 	t.faultMu.Lock()
 	defer t.faultMu.Unlock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,6 +39,9 @@
 	// services, as From says.
 	KindPoison = "deadly"
 
+	// KindRateLimit makes a target name a rate limit of Rate requests a second.
+	KindRateLimit = "limit"
+
 	KindChange = "change" // the operator adds a route and a key and removes the oldest ones
 )
 
@@ -84,6 +87,8 @@
 		To      string `yaml:"to,omitempty"`
 		DelayMs int    `yaml:"delayMs,omitempty"`
 		StepMs  int    `yaml:"stepMs,omitempty"`
+
+		Rate float64 `yaml:"rate,omitempty"` // of KindRateLimit, requests a second
 	}
 
 	// Size holds the number of nodes of each kind and of callers.
@@ -148,6 +153,7 @@
 		p.Faults = append(p.Faults, Fault{Kind: KindChange, AtMs: int(at.Milliseconds())})
 	}
 	p.Faults = append(p.Faults, d.drawPoison(end)...)
+	p.Faults = append(p.Faults, d.drawRateLimits(end)...)
 	p.sort()
 	return p, nil
 }
@@ -311,6 +317,9 @@
 	if f.StepMs != 0 {
 		fmt.Fprintf(&b, ", clock %+d ms", f.StepMs)
 	}
+	if f.Rate > 0 {
+		fmt.Fprintf(&b, ", %.1f a second", f.Rate)
+	}
 	return b.String()
 }
 
@@ -328,7 +337,7 @@
 		return Plan{}, fmt.Errorf("%w: %s: size %q, %d seconds", ErrInvalidPlan, file, p.Size, p.Seconds)
 	}
 	for _, f := range p.Faults {
-		if f.Kind != KindChange && f.Kind != KindPoison && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
+		if f.Kind != KindChange && f.Kind != KindPoison && f.Kind != KindRateLimit && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
 			return Plan{}, fmt.Errorf("%w: %s: unknown kind %q", ErrInvalidPlan, file, f.Kind)
 		}
 	}
--- a/soak/records.go
+++ b/soak/records.go
@@ -16,6 +16,7 @@
 	RecordEnded    = "ended"
 	RecordDraining = "leaving" // the store has acknowledged the row that says so
 	RecordCrashed  = "crashed" // a poison request crashes the target
+	RecordLimited  = "limited" // the target names a rate limit from now on
 )
 
 // Kinds of call.
@@ -58,7 +59,7 @@
 	}
 
 	// Record is what a target recorded: the start or end of an attempt, that the target
-	// is draining, or a crash.
+	// is draining, a crash, or a rate limit.
 	Record struct {
 		Kind         string `json:"kind"`
 		Call         string `json:"call"`
@@ -70,6 +71,9 @@
 		KeyPassed    bool   `json:"keyPassed"`
 		ResumeOffset int    `json:"after"`
 		At           int64  `json:"at"`
+
+		Rate  float64 `json:"rate,omitempty"`  // of RecordLimited, requests a second
+		Until int64   `json:"until,omitempty"` // when the target stops to name the limit, unless it ends before
 	}
 
 	// Change is a version that the operator wrote.
--- a/soak/target.go
+++ b/soak/target.go
@@ -33,6 +33,7 @@
 
 	pathReplica     = "/soak/copy"  // keeps a replica; parameters call, events
 	pathLoseAnswers = "/soak/loses" // loses answers; parameter ms
+	pathRateLimit   = "/soak/limit" // names a rate limit; parameters ms, rate
 	pathHealth      = "/health"
 )
 
@@ -149,6 +150,7 @@
 		t.standIn.SetFault(platform.FaultLoseAnswer)
 		time.AfterFunc(time.Duration(mustAtoi(r.FormValue("ms")))*time.Millisecond, func() { t.standIn.SetFault("") })
 	})
+	mux.HandleFunc(pathRateLimit, t.nameRateLimit)
 	return mux
 }
 
