ratelimit: Retry-After of limited calls within a second; no work in views without limits

A stream of 25 s was told to come back after up to 6 s where its engines were limited; the shares are now of 4 s at most. Views without limited targets allocate nothing for them.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -320,9 +320,13 @@
 // adds them to sent. Instances report what they hear from others too, so that all of them
 // learn of a limit.
 func (e *Exchange) rateLimitsSince(sent map[ragworthitch.Boot]ratelimit.Report, now clock.Time) []wire.RateLimit {
+	limited := e.targets.Limited()
+	if len(limited) == 0 && len(sent) == 0 {
+		return nil
+	}
 	var out []wire.RateLimit
 	current := map[ragworthitch.Boot]bool{}
-	for _, m := range e.targets.Limited() {
+	for _, m := range limited {
 		boot := m.Target().Boot()
 		r, ok := m.RateLimit().Report(now)
 		if !ok {
--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -18,11 +18,12 @@
 	// permitWaitShare of the latency objective is how long a call waits for a permit. The
 	// answer can then still be in time.
 	permitWaitShare = 0.5
-	// limitedRetryMinShare and limitedRetryMaxShare of the caller's timeout bound the
-	// Retry-After of calls that rate limits keep from all targets. The range is wide, so
-	// that the retries come one after the other.
-	limitedRetryMinShare = 0.05
-	limitedRetryMaxShare = 0.25
+	// limitedRetryMinShare and limitedRetryMaxShare of the caller's timeout, but of
+	// maxLimitedRetryTimeout at most, bound the Retry-After of calls that rate limits keep
+	// from all targets. The range is wide, so that the retries come one after the other.
+	limitedRetryMinShare   = 0.05
+	limitedRetryMaxShare   = 0.25
+	maxLimitedRetryTimeout = 4 * time.Second
 	// maxSelections is how often a target is selected for one attempt, as another call may
 	// take the permit in the meantime.
 	maxSelections = 3
@@ -105,7 +106,7 @@
 		return noTargetRetryAfter
 	}
 	share := limitedRetryMinShare + (limitedRetryMaxShare-limitedRetryMinShare)*rand.Float64()
-	return time.Duration(share * float64(c.call.Timeout))
+	return time.Duration(share * float64(min(c.call.Timeout, maxLimitedRetryTimeout)))
 }
 
 // send sends an attempt to its target, and records what the answer says about the target's
