ingress: permits of one target are asked for at a time; urgency is judged at limited targets only

With many limited targets an instance without permits would ask its peers for each of them; now for one of them in 50 ms at most. Calls to targets without a limit no longer take the lock of the urgency table.

--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -325,7 +325,7 @@
 func (c *activeCall) fail(status int, cause string, err error) {
 	if !c.mayHaveRun && len(c.heldBack) > 0 {
 		c.h.stats.limitedCalls.Inc(1)
-		c.reject(fmt.Sprintf("%s; targets at their rate limits: %s", cause, strings.Join(ids(c.heldBack), " ")), c.limitedRetryAfter())
+		c.reject(fmt.Sprintf("%s; targets at their rate limits: %s", cause, strings.Join(targetIDs(c.heldBack), " ")), c.limitedRetryAfter())
 		return
 	}
 	if !c.mayHaveRun {
--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -24,6 +24,9 @@
 	limitedRetryMinShare   = 0.05
 	limitedRetryMaxShare   = 0.25
 	maxLimitedRetryTimeout = 4 * time.Second
+	// borrowTurn is how long all calls of an instance ask others for permits of the same
+	// target. It bounds the questions where many targets are limited.
+	borrowTurn = 50 * time.Millisecond
 	// maxSelections is how often a target is selected for one attempt, as another call may
 	// take the permit in the meantime.
 	maxSelections = 3
@@ -46,10 +49,11 @@
 // takePermit takes the permit for an attempt at m, if there is still one.
 func (c *activeCall) takePermit(m *registry.Member) (ratelimit.Permit, bool) {
 	now := clock.Now()
-	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)
+	urgent := m.RateLimit().Active() && c.isUrgent(now)
+	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), urgent, now)
 	if ok && len(c.heldBack) > 0 && !c.heldBackLogged {
 		c.heldBackLogged = true
-		c.h.log.Info().Str("request", c.call.ID).Str("service", c.service()).Strs("limited", ids(c.heldBack)).Str("target", m.Target().ID()).
+		c.h.log.Info().Str("request", c.call.ID).Str("service", c.service()).Strs("limited", targetIDs(c.heldBack)).Str("target", m.Target().ID()).
 			Msg("ratelimit: call kept from limited targets")
 	}
 	return permit, ok
@@ -66,7 +70,7 @@
 	return *c.urgent && (c.attempts == 0 || c.grant.Route.Kind() == ragworthitch.CallStream)
 }
 
-func ids(ms []*registry.Member) []string {
+func targetIDs(ms []*registry.Member) []string {
 	out := make([]string, len(ms))
 	for i, m := range ms {
 		out[i] = m.Target().ID()
@@ -82,7 +86,7 @@
 	}
 	if !c.borrowed {
 		c.borrowed = true
-		m := c.heldBack[rand.IntN(len(c.heldBack))]
+		m := c.heldBack[int(clock.Now()/clock.Time(borrowTurn))%len(c.heldBack)]
 		c.h.borrowPermits(ctx, m)
 		if c.h.rateLimits.Available(m.RateLimit(), m.Target().ID(), true, clock.Now()) {
 			return true
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -133,12 +133,13 @@
 	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.budget, Path: wire.LoanPath, Name: "retries", Log: log}
 	i.permits = ratelimit.Pool{Group: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members}, Find: i.findLimit}
 	permitBorrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.permits, Path: wire.PermitLoanPath, Name: "permits", Log: log}
+	borrowPermits := func(ctx context.Context, m *registry.Member) {
+		permitBorrower.Borrow(ctx, permitKey(m.Target().Boot()))
+	}
 	i.peers.OnRateLimit(func(m *registry.Member, c ratelimit.Change) { i.handler.LogRateLimit(m, c) })
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
-		Sender: platform.Sender{UnknownHeaders: &platform.UnknownHeaders{Log: log}}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: i.permits.Group, BorrowPermits: func(ctx context.Context, m *registry.Member) {
-			permitBorrower.Borrow(ctx, permitKey(m.Target().Boot()))
-		}, ClaimProbe: i.claimProbe,
-		AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
+		Sender: platform.Sender{UnknownHeaders: &platform.UnknownHeaders{Log: log}}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: i.permits.Group, BorrowPermits: borrowPermits,
+		ClaimProbe: i.claimProbe, AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
 	return i
 }
 
