--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -68,8 +68,8 @@
 		ctx       context.Context
 		incoming  map[string]*wire.Conn // newest connection that a peer sends views on, by node
 		known     map[string]Peer       // known peers, by node
-		members   ratelimit.Members     // the names in known, since the version that it has
 		version   uint64                // number of changes of known
+		members   ratelimit.Members     // the names in known at version members.Version
 		knownAsOf clock.Time            // time up to which known is complete; 0: not read yet
 		// changedAt is when known last changed, and pendingSince when it first changed
 		// after the last call of applyPeers; 0: it has not.
--- a/ingress/urgency.go
+++ b/ingress/urgency.go
@@ -26,40 +26,46 @@
 	}
 
 	serviceUrgency struct {
-		mostUrgent recentMin[int]                       // priority
-		timeouts   map[string]*recentMin[time.Duration] // longest, negated, by route
+		mostUrgent recent[int]                       // priority
+		longest    map[string]*recent[time.Duration] // timeout, by route
 	}
 
-	// recentMin is the least value of late.
-	recentMin[T int | time.Duration] struct {
+	// recent is the extreme value of late.
+	recent[T any] struct {
 		value T
-		at    clock.Time // 0: none
+		at    clock.Time // when it was recorded; 0: never
 	}
 )
 
-// add adds a value and returns the least one of late.
-func (m *recentMin[T]) add(v T, now clock.Time) T {
-	if m.at == 0 || v <= m.value || now.Sub(m.at) > urgencyMemory {
-		m.value, m.at = v, now
+// record records v if it exceeds the value, or if the value is old, and returns the value
+// then. exceeds compares v with the value.
+func (r *recent[T]) record(v T, exceeds func(v, value T) bool, now clock.Time) T {
+	if r.at == 0 || exceeds(v, r.value) || now.Sub(r.at) > urgencyMemory {
+		r.value, r.at = v, now
 	}
-	return m.value
+	return r.value
 }
 
 // isFirst records a call and reports whether it is one of those that come first.
 func (u *urgency) isFirst(service, route string, priority int, timeout time.Duration, now clock.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	s := u.service(service)
+	if s.longest[route] == nil {
+		s.longest[route] = &recent[time.Duration]{}
+	}
+	longest := s.longest[route].record(timeout, func(v, value time.Duration) bool { return v >= value }, now)
+	mostUrgent := s.mostUrgent.record(priority, func(v, value int) bool { return v <= value }, now)
+	return priority == mostUrgent && float64(timeout) >= firstTryShare*float64(longest)
+}
+
+// service returns what is known of a service; u.mu is held.
+func (u *urgency) service(name string) *serviceUrgency {
 	if u.services == nil {
 		u.services = map[string]*serviceUrgency{}
 	}
-	s := u.services[service]
-	if s == nil {
-		s = &serviceUrgency{timeouts: map[string]*recentMin[time.Duration]{}}
-		u.services[service] = s
-	}
-	if s.timeouts[route] == nil {
-		s.timeouts[route] = &recentMin[time.Duration]{}
+	if u.services[name] == nil {
+		u.services[name] = &serviceUrgency{longest: map[string]*recent[time.Duration]{}}
 	}
-	longest := -s.timeouts[route].add(-timeout, now)
-	return s.mostUrgent.add(priority, now) == priority && float64(timeout) >= firstTryShare*float64(longest)
+	return u.services[name]
 }
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -105,7 +105,7 @@
 		logAt   clock.Time // when Change.Log was last set; 0: never
 		permits permits
 
-		borrowed borrowed
+		borrowed borrowed // permits that other instances have lent
 	}
 )
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -107,24 +107,6 @@
 // RateLimit returns the rate limit that the target names in its answers.
 func (m *Member) RateLimit() *ratelimit.Limit { return &m.limit }
 
-// ObserveRateLimit records what an answer of the target says about its rate limit.
-func (m *Member) ObserveRateLimit(a ratelimit.Answer) ratelimit.Change {
-	c := m.limit.Observe(a)
-	if c.Changed {
-		m.onLimited()
-	}
-	return c
-}
-
-// ApplyRateLimit records what a peer reports about the target's rate limit.
-func (m *Member) ApplyRateLimit(r ratelimit.Report, now clock.Time) ratelimit.Change {
-	c := m.limit.Apply(r, now)
-	if c.Changed {
-		m.onLimited()
-	}
-	return c
-}
-
 // Life returns a context that ends, with the cause ErrEnded, when this boot of the
 // target is known to have ended: its attempts are lost.
 func (m *Member) Life() context.Context { return m.life }
@@ -399,36 +381,6 @@
 	return out
 }
 
-func (r *Registry) addLimited(m *Member) {
-	r.limitedMu.Lock()
-	defer r.limitedMu.Unlock()
-	if r.limited == nil {
-		r.limited = map[*Member]bool{}
-	}
-	r.limited[m] = true
-}
-
-func (r *Registry) dropLimited(m *Member) {
-	r.limitedMu.Lock()
-	defer r.limitedMu.Unlock()
-	delete(r.limited, m)
-}
-
-// Limited returns the targets that have, or lately had, a rate limit.
-func (r *Registry) Limited() []*Member {
-	r.limitedMu.Lock()
-	defer r.limitedMu.Unlock()
-	out := make([]*Member, 0, len(r.limited))
-	for m := range r.limited {
-		if !m.limit.Active() {
-			delete(r.limited, m)
-			continue
-		}
-		out = append(out, m)
-	}
-	return out
-}
-
 // WorkChanges returns the number of changes of this instance's own load at all targets.
 func (r *Registry) WorkChanges() uint64 { return r.workChanges.Load() }
 
