--- a/ingress/rate_limit_test.go
+++ b/ingress/rate_limit_test.go
@@ -55,8 +55,7 @@
 
 	// namingSender answers attempts as limited targets do, and records them.
 	namingSender struct {
-		c       limitCase
-		started <-chan struct{} // closed when the instance has started
+		c limitCase
 
 		mu       sync.Mutex
 		attempts int
