--- a/soak/check.go
+++ b/soak/check.go
@@ -275,7 +275,7 @@
 // checkShutdown checks that calls were completed that an instance had sent to a target
 // before it was stopped or reloaded, if no other fault may have interrupted them.
 func (c *checker) checkShutdown(call *Call) {
-	if call.Complete || len(c.attempts[call.ID]) == 0 || call.Poison {
+	if call.Complete || len(c.attempts[call.ID]) == 0 || call.Poison || c.crashedUnder(call) {
 		return
 	}
 	isShutdown := func(t InjectedFault) bool {
@@ -287,6 +287,16 @@
 	}
 }
 
+// crashedUnder reports whether a target that ran the call recorded, while it did, that it
+// crashes. The fault that stands for the crash begins when the soak test finds the process
+// gone, which may be after the end of the call.
+func (c *checker) crashedUnder(call *Call) bool {
+	return slices.ContainsFunc(c.history.Records, func(r Record) bool {
+		return r.Kind == RecordCrashed && r.At >= call.SentAt && r.At <= call.EndedAt &&
+			slices.ContainsFunc(c.attempts[call.ID], func(a Record) bool { return a.Target == r.Target })
+	})
+}
+
 // mayInterrupt reports whether a fault may have interrupted a call: a fault of its
 // instance, of a target that ran the call, or of a link between them.
 func (c *checker) mayInterrupt(t InjectedFault, call *Call) bool {
--- a/soak/ratelimit.go
+++ b/soak/ratelimit.go
@@ -94,8 +94,8 @@
 	told := c.instancesTold(l)
 	end := l.Until
 	for _, r := range c.history.Records {
-		if r.Kind == RecordLimited && r.Target == l.Target && r.At > l.At {
-			end = min(end, r.At) // another limit, or another process
+		if (r.Kind == RecordLimited || r.Kind == RecordBooted) && r.Target == l.Target && r.At > l.At {
+			end = min(end, r.At)
 		}
 	}
 	var times []int64
--- a/soak/records.go
+++ b/soak/records.go
@@ -17,6 +17,7 @@
 	RecordDraining = "leaving" // the store has acknowledged the row that says so
 	RecordCrashed  = "crashed" // a poison request crashes the target
 	RecordLimited  = "limited" // the target names a rate limit from now on
+	RecordBooted   = "booted"  // a process of the target starts; it may have the id of an earlier one
 )
 
 // Kinds of call.
@@ -59,7 +60,7 @@
 	}
 
 	// Record is what a target recorded: the start or end of an attempt, that the target
-	// is draining, a crash, or a rate limit.
+	// is draining, a crash, a rate limit, or the start of its process.
 	Record struct {
 		Kind         string `json:"kind"`
 		Call         string `json:"call"`
--- a/soak/target.go
+++ b/soak/target.go
@@ -81,6 +81,7 @@
 	if _, err := t.standIn.Start(); err != nil {
 		return err
 	}
+	t.writeRecord(Record{Kind: RecordBooted})
 	fmt.Println("target: started")
 	t.heartbeat(ctx)
 	for t.writeRow(true) != nil {
