ratelimit, ingress: lists of borrowed permits and of routes are bounded

Found when reading the whole change again: borrowed permits were dropped only when one was asked for, and the routes of limited services, which the operator may replace all the time, were never forgotten. One comment is wrapped.

--- a/discovery/follow.go
+++ b/discovery/follow.go
@@ -25,9 +25,10 @@
 	// before the call is abandoned and idle connections are closed.
 	responseTimeout = 400 * time.Millisecond
 	// slowResponseTimeout replaces responseTimeout after a failed call, so that a
-	// slow store, which takes some 50 times its usual 4 to 8 ms, can still be read. For a whole table it applies to each page, as the table
-	// may be larger than a slow link carries in that time. The first read has the short
-	// time for all pages: peers with fast links often have the table sooner.
+	// slow store, which takes some 50 times its usual 4 to 8 ms, can still be read. For a
+	// whole table it applies to each page, as the table may be larger than a slow link
+	// carries in that time. The first read has the short time for all pages: peers with
+	// fast links often have the table sooner.
 	slowResponseTimeout = 1500 * time.Millisecond
 	// minRelayInterval is the minimum time between the starts of two calls to a
 	// relay, which answers as soon as a row changes: changes that follow each other
--- a/ingress/urgency.go
+++ b/ingress/urgency.go
@@ -13,6 +13,9 @@
 	// firstTryShare of the longest timeout on a route is left to a caller that has not
 	// waited elsewhere before.
 	firstTryShare = 0.9
+	// maxUrgencyRoutes bounds the routes of a service that are remembered, as the operator
+	// may add and remove routes all the time. All are forgotten beyond it.
+	maxUrgencyRoutes = 4096
 )
 
 type (
@@ -52,6 +55,9 @@
 	defer u.mu.Unlock()
 	s := u.service(service)
 	if s.longest[route] == nil {
+		if len(s.longest) >= maxUrgencyRoutes {
+			clear(s.longest)
+		}
 		s.longest[route] = &recent[time.Duration]{}
 	}
 	longest := s.longest[route].record(timeout, func(v, value time.Duration) bool { return v >= value }, now)
--- a/ingress/urgency_test.go
+++ b/ingress/urgency_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,3 +36,12 @@
 		})
 	}
 }
+
+// Guards against memory that grows with the routes that the operator adds and removes.
+func TestUrgencyIsBounded(t *testing.T) {
+	var u urgency
+	for i := range 3 * maxUrgencyRoutes {
+		u.isFirst("desk", fmt.Sprint("route-", i), 0, time.Second, clock.Time(time.Hour))
+	}
+	assert.LessOrEqual(t, len(u.services["desk"].longest), maxUrgencyRoutes)
+}
--- a/ratelimit/loan.go
+++ b/ratelimit/loan.go
@@ -41,17 +41,22 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.borrowed.dropExpired(now)
 	for range n {
 		l.borrowed = append(l.borrowed, now.Add(loanLifetime))
 	}
 }
 
-// available reports whether there is a borrowed permit, and drops those that have expired.
+// available reports whether there is a borrowed permit.
 func (b *borrowed) available(now clock.Time) bool {
+	b.dropExpired(now)
+	return len(*b) > 0
+}
+
+func (b *borrowed) dropExpired(now clock.Time) {
 	for len(*b) > 0 && now >= (*b)[0] {
 		*b = (*b)[1:]
 	}
-	return len(*b) > 0
 }
 
 // take uses up the first permit.
