--- a/ingress/call.go
+++ b/ingress/call.go
@@ -36,7 +36,10 @@
 		Prompt       int    // tokens in the prompt
 		MaxTokens    int    // maximum number of tokens to generate
 		Subject      string // last part of the prompt, which differs between calls or sessions
-		Received     clock.Time
+		// SharedParts are the ids of the prompt's other parts, which other prompts may have too,
+		// in their order.
+		SharedParts []string
+		Received    clock.Time
 	}
 
 	// AttemptRequest is one attempt: a call as it is sent to one target.
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -146,7 +146,7 @@
 	loss.Zone = c.countLostNeighbours(m, func(o ragworthitch.Target) bool { return o.Zone() == t.Zone() })
 	loss.Service = c.countLostNeighbours(m, func(o ragworthitch.Target) bool { return o.Service() == t.Service() })
 	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.print).Str("target", t.ID()).Int("zoneAsked", loss.Zone.Asked).Int("zoneLost", loss.Zone.Lost).
-		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Int("events", events).Bool("together", loss.InOutage()).
+		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Int("events", events).Strs("promptParts", c.call.SharedParts).Bool("together", loss.InOutage()).
 		Msg("poison: target crashed soon after an attempt started")
 	if !loss.InOutage() && c.h.targetMemory.Crashed(c.service(), bodies, len(c.call.Body)) {
 		c.h.log.Warn().Str("request", c.call.ID).Str("target", t.ID()).Int("bodies", bodies).Int("body", len(c.call.Body)).
