--- a/soak/target.go
+++ b/soak/target.go
@@ -74,7 +74,7 @@
 		bootTimeMs: time.Now().Add(time.Duration(cfg.StepMs) * time.Millisecond).UnixMilli()}
 	t.standIn = platform.TargetStandIn{ID: cfg.ID, Events: streamEvents, EventInterval: eventInterval, FirstEventDelay: firstEventTime, Listen: cfg.Listen,
 		Peers: &platform.Peers{SendReplica: t.sendReplica}, Work: answerGenerator(cfg.ID), OnRun: t.recordAttempt, Mux: t.extraHandler(),
-		CrashTrigger: platform.CrashTrigger{Matches: func(body []byte) bool { return string(body) == poisonBody }, OnCrash: t.crash}}
+		CrashTrigger: platform.CrashTrigger{Matches: func(c platform.ReceivedCall) bool { return string(c.Body) == poisonBody }, OnCrash: t.crash}}
 	if cfg.Service != serviceLLM {
 		t.standIn.FirstEventDelay = plainAnswerTime
 	}
