--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -3,8 +3,8 @@
 // the same target. An instance sends a view of its load to its peers whenever the
 // load changes. Views are hints: each may be late or lost.
 //
-// Views also carry reports of targets that crashed under a request. Instances
-// forward these reports, so that they reach all instances within seconds, also
+// Views also carry reports of targets that crashed under a request, and of parts of prompts
+// that ran well although they are suspected of crashes. Instances forward these reports, so that they reach all instances within seconds, also
 // while the store is unavailable.
 package exchange
 
@@ -171,12 +171,13 @@
 	e.log.Info().Str("peer", p.Node).Str("addr", p.Addr).Msg("exchange: connected to peer")
 	sent, sentLimits := map[ragworthitch.Boot]report{}, map[ragworthitch.Boot]ratelimit.Report{}
 	var lastSent clock.Time
-	var locationCount, crashCount uint64
+	var locationCount, crashCount, soundCount uint64
 	for ctx.Err() == nil {
 		updated := e.nextUpdate()
 		v := e.changesSince(sent)
 		v.CacheLocations, locationCount = e.cacheLocationsSince(locationCount)
-		v.Crashes, crashCount = e.poisonTracker.CrashesSince(crashCount)
+		v.Crashes, crashCount = e.poisonTracker.CrashesSince(crashCount, clock.Now())
+		v.SoundRuns, soundCount = e.poisonTracker.SoundRunsSince(soundCount, clock.Now())
 		v.RateLimits = e.rateLimitsSince(sentLimits, clock.Now())
 		if now := clock.Now(); v.HasNews() || now.Sub(lastSent) >= maxViewInterval {
 			lastSent = now
@@ -295,7 +296,7 @@
 	for _, location := range v.CacheLocations {
 		e.cacheLocations.RecordReport(cachelocation.Location{Subject: location.Subject, Engine: location.Engine}, now)
 	}
-	e.applyCrashes(v.Crashes, now)
+	e.applyCrashes(v, now)
 	e.applyRateLimits(v.RateLimits, now)
 	for _, l := range v.Loads {
 		if m := e.targets.Boot(l.Target); m != nil {
@@ -305,13 +306,12 @@
 	}
 }
 
-// applyCrashes records crashes that a peer reports, and forwards those that are new.
-func (e *Exchange) applyCrashes(crashes []poison.Crash, now clock.Time) {
-	anyNew := false
-	for _, c := range crashes {
-		anyNew = e.poisonTracker.RecordCrash(c, poison.SourcePeer, now) || anyNew
-	}
-	if anyNew {
+// applyCrashes records crashes and sound runs that a peer reports, and forwards those that
+// are new.
+func (e *Exchange) applyCrashes(v wire.View, now clock.Time) {
+	newCrashes := len(v.Crashes) > 0 && e.poisonTracker.RecordCrashes(v.Crashes, poison.SourcePeer, now)
+	newRuns := len(v.SoundRuns) > 0 && e.poisonTracker.RecordPeerSoundRuns(v.SoundRuns, now)
+	if newCrashes || newRuns {
 		e.SendNow()
 	}
 }
--- a/experiment/instance.go
+++ b/experiment/instance.go
@@ -47,6 +47,7 @@
 	locationsSent  uint64 // observed cache locations in reports so far
 	poisonTracker  poison.Tracker
 	crashesSent    uint64 // recorded crashes in reports so far
+	soundRunsSent  uint64
 	handler        *ingress.Handler
 	ctx            context.Context // ends when the instance is killed
 	cancel         context.CancelFunc
@@ -64,7 +65,7 @@
 	in.poisonTracker.DryRun = s.variant.NoQuarantine
 	cfg := ingress.Config{Zone: zone, DesiredState: states, Targets: &in.targets, CacheLocations: &in.cacheLocations, RetryBudget: budget.New(retryLimit, s.countEntries),
 		Sender: recordingSender{emulator.Sender{Cluster: s.cluster, Zone: zone}, s}, Engines: s.variant.Engines, FixedPace: s.variant.FixedPace,
-		PoisonTracker: &in.poisonTracker, ClaimProbe: in.claim, Log: zerolog.Nop()}
+		PoisonTracker: &in.poisonTracker, ClaimProbes: in.claim, Log: zerolog.Nop()}
 	if !s.variant.NoReports {
 		cfg.NotifyPeers = in.scheduleReport
 	}
@@ -94,17 +95,18 @@
 	s.mu.Lock()
 	locations, n := in.cacheLocations.RecordedSince(in.locationsSent)
 	in.locationsSent = n
-	crashes, n := in.poisonTracker.CrashesSince(in.crashesSent)
+	crashes, n := in.poisonTracker.CrashesSince(in.crashesSent, clock.Now())
 	in.crashesSent = n
+	soundRuns, n := in.poisonTracker.SoundRunsSince(in.soundRunsSent, clock.Now())
+	in.soundRunsSent = n
 	s.mu.Unlock()
 	s.store.save(&in.poisonTracker)
 	for _, peer := range s.allEntries() {
 		if peer == in {
 			continue
 		}
-		for _, crash := range crashes {
-			peer.poisonTracker.RecordCrash(crash, poison.SourcePeer, clock.Now())
-		}
+		peer.poisonTracker.RecordCrashes(crashes, poison.SourcePeer, clock.Now())
+		peer.poisonTracker.RecordPeerSoundRuns(soundRuns, clock.Now())
 		for _, m := range in.targets.All() {
 			if member := peer.targets.Boot(m.Target().Boot()); member != nil {
 				member.Work().SetPeer(in.name, m.Work().Own())
--- a/experiment/poison.go
+++ b/experiment/poison.go
@@ -142,20 +142,24 @@
 	}
 }
 
-// claim claims the probe of a quarantined request in the store. It returns false
-// if another entry instance has claimed it or the store is unavailable.
-func (in *instance) claim(_ context.Context, probe poison.Probe) bool {
+// claim claims the probes of one call in the store. It returns false if another entry
+// instance has claimed one of them or the store is unavailable.
+func (in *instance) claim(_ context.Context, probes []poison.Probe) bool {
 	s := &in.sim.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unavailable || s.claimedProbes[probe.Fingerprint] >= probe.Count {
-		return false
+	for _, p := range probes {
+		if s.unavailable || s.claimedProbes[p.Fingerprint] >= p.Count {
+			return false
+		}
 	}
 	if s.claimedProbes == nil {
 		s.claimedProbes = map[poison.Fingerprint]int{}
 	}
-	s.claimedProbes[probe.Fingerprint] = probe.Count
-	return in.poisonTracker.ClaimProbe(probe, int64(probe.Count), clock.Now())
+	for _, p := range probes {
+		s.claimedProbes[p.Fingerprint] = p.Count
+	}
+	return in.poisonTracker.ClaimProbes(probes, int64(probes[0].Count), clock.Now())
 }
 
 func (s *store) setUnavailable(unavailable bool) {
--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -29,7 +29,7 @@
 	w          *callerWriter
 	call       *Call
 	grant      desired.Grant
-	print      poison.Fingerprint // identifies the request, also when the caller retries it
+	request    poison.Request // the same when the caller retries the call
 	deadline   clock.Time
 	attempts   int        // attempts that reached a target or may have
 	mayHaveRun bool       // a target may have run the call
@@ -37,6 +37,7 @@
 	// retryReserved means that the next retry is already taken out of the retry budget.
 	retryReserved   bool
 	isProbe         bool                        // the request is quarantined, and this call is its probe
+	soundElsewhere  bool                        // the request is quarantined, and may run at the targets of targetFilter
 	targetFilter    func(*registry.Member) bool // selects the targets that may get the call; nil: all
 	noCrashRecorded bool                        // recordNoCrash has been called
 	heldBack        []*registry.Member          // targets from which their rate limits have kept the call
@@ -348,7 +349,7 @@
 // logFailure logs a call that failed or was rejected.
 func (c *activeCall) logFailure(status int, cause string, err error) {
 	now := clock.Now()
-	c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.print).Str("route", c.grant.Route.Name()).Str("kind", c.grant.Route.Kind().String()).
+	c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("route", c.grant.Route.Name()).Str("kind", c.grant.Route.Kind().String()).
 		Str("service", c.service()).Str("org", c.grant.Org).Int64("version", c.grant.Version).Dur("proofAge", c.grant.Age).
 		Int("sends", c.attempts).Bool("mayHaveRun", c.mayHaveRun).Dur("after", now.Sub(c.call.Received)).Int("status", status).
 		Str("cause", cause).AnErr("error", err).Msg("ingress: call failed")
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -193,9 +193,9 @@
 func (a *attempt) watch(ctx context.Context) error {
 	s := a.s
 	lost, bootEnded := a.member.Health().NextFailure(), a.member.Life().Done()
-	quarantined, stopWaiting := s.h.poisonTracker.Await(s.print)
+	quarantined, stopWaiting := s.h.poisonTracker.Await(s.request)
 	defer stopWaiting()
-	if s.isProbe {
+	if s.isProbe || s.soundElsewhere {
 		quarantined = nil
 	}
 	timerSetAt := clock.Now()
@@ -280,6 +280,9 @@
 	if !poison.Young(s.totalEvents) {
 		s.recordNoCrash()
 	}
+	if a.replicaTarget == nil && a.events == soundAfterEvents {
+		s.recordSoundRun(a.member)
+	}
 	s.replicaStarted = true
 	if event.ID != 0 {
 		if event.ID <= s.lastID {
@@ -343,6 +346,9 @@
 		// The caller has all events, and the target has none to add.
 		s.sendHead(head)
 	}
+	if a.replicaTarget == nil && a.events > 0 {
+		s.recordSoundRun(a.member)
+	}
 	s.h.paces.Of(s.service()).AddAnswer(s.lastID, s.admission(0, 0).MaxEvents(), a.lastEventAt.Sub(a.firstEventAt), a.events)
 	return nil
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -72,7 +72,7 @@
 		poisonTracker  *poison.Tracker
 		rollouts       *rollout.Tracker
 		rateLimits     *ratelimit.Group
-		claimProbe     func(ctx context.Context, p poison.Probe) bool
+		claimProbes    func(ctx context.Context, probes []poison.Probe) bool
 		isReady        func() bool
 		createdAt      clock.Time
 		started        <-chan struct{}
@@ -122,11 +122,11 @@
 		// AnswerMemory limits the parts of answers that callers have not accepted yet;
 		// nil: no limit.
 		AnswerMemory *admit.Memory
-		// ClaimProbe claims the probe of a quarantined request and reports whether this
-		// instance got it; nil: claims it in PoisonTracker only.
-		ClaimProbe func(ctx context.Context, p poison.Probe) bool
-		Log        zerolog.Logger
-		Scope      tally.Scope
+		// ClaimProbes claims the probes of one call, whose request or parts are quarantined,
+		// and reports whether this instance got them; nil: claims them in PoisonTracker only.
+		ClaimProbes func(ctx context.Context, probes []poison.Probe) bool
+		Log         zerolog.Logger
+		Scope       tally.Scope
 	}
 )
 
@@ -150,8 +150,10 @@
 	if cfg.RateLimits == nil {
 		cfg.RateLimits = &ratelimit.Group{}
 	}
-	if cfg.ClaimProbe == nil {
-		cfg.ClaimProbe = func(_ context.Context, p poison.Probe) bool { return cfg.PoisonTracker.ClaimProbe(p, 0, clock.Now()) }
+	if cfg.ClaimProbes == nil {
+		cfg.ClaimProbes = func(_ context.Context, probes []poison.Probe) bool {
+			return cfg.PoisonTracker.ClaimProbes(probes, 0, clock.Now())
+		}
 	}
 	if cfg.Engines == nil {
 		cfg.Engines = route.Engines{}
@@ -168,7 +170,7 @@
 		cfg.Started = started
 	}
 	return &Handler{createdAt: clock.Now(), started: cfg.Started, notifyPeers: cfg.NotifyPeers, borrowRetries: cfg.BorrowRetries, borrowPermits: cfg.BorrowPermits, poisonTracker: cfg.PoisonTracker,
-		rollouts: cfg.Rollouts, rateLimits: cfg.RateLimits, claimProbe: cfg.ClaimProbe, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
+		rollouts: cfg.Rollouts, rateLimits: cfg.RateLimits, claimProbes: cfg.ClaimProbes, isReady: cfg.Ready, zone: cfg.Zone, desiredState: cfg.DesiredState,
 		targets: cfg.Targets, cacheLocations: cfg.CacheLocations, retryBudget: cfg.RetryBudget, sender: cfg.Sender,
 		enginePolicy: cfg.Engines, fixedPace: cfg.FixedPace, targetWait: cfg.TargetWait, answerMemory: cfg.AnswerMemory, log: cfg.Log, stats: newStats(cfg.Scope)}
 }
@@ -210,7 +212,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	w.deadline = now.Add(limit)
-	c := &activeCall{h: h, w: w, call: call, grant: grant, print: poison.Of(grant.Org, call.Method, call.Host, call.Path, call.Body), deadline: w.deadline}
+	c := &activeCall{h: h, w: w, call: call, grant: grant, request: poisonRequest(grant, call), deadline: w.deadline}
 	if !c.passesQuarantine(ctx) {
 		return
 	}
--- a/ingress/memory_test.go
+++ b/ingress/memory_test.go
@@ -111,7 +111,7 @@
 		}
 		assert.Equal(t, crashes, s.crashCount(), "targets that crashed in all")
 		for _, c := range large {
-			assert.False(t, h.poisonTracker.Status(poison.Of("", c.Method, c.Host, c.Path, c.Body), clock.Now()).Quarantined, "%s is quarantined", c.ID)
+			assert.False(t, h.poisonTracker.Status(poison.Request{Fingerprint: poison.Of("", c.Method, c.Host, c.Path, c.Body)}, clock.Now()).Quarantined, "%s is quarantined", c.ID)
 		}
 	})
 }
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -186,6 +186,7 @@
 	if result.reply.isFailure() {
 		return false
 	}
+	c.recordSoundRun(result.member)
 	c.recordAnswer(result.member, result.reply.Status)
 	c.h.stats.plainTime.Record(clock.Now().Sub(c.call.Received))
 	c.writeAnswer(&result)
@@ -249,7 +250,7 @@
 		result.member.Health().Answered(now, took, true)
 		go c.investigatePlainLoss(result.member, startedAt, result.member.Work().PeakBodies())
 		c.recordPlainSymptoms(result, startedAt, took)
-		c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.print).
+		c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).
 			Str("target", result.member.Target().ID()).Dur("after", took).Err(result.err).Msg("ingress: target sent no complete answer")
 	case result.reply.WrongTarget:
 		c.dropStaleEntry(result.member)
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -12,6 +12,7 @@
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/health"
 	"github.com/ragworthitch/ragworthitch/poison"
 	"github.com/ragworthitch/ragworthitch/registry"
@@ -22,26 +23,61 @@
 	// target has to be found lost for the end to count as a crash. It covers
 	// upstream.DialTimeout.
 	crashConfirmTimeout = 400 * time.Millisecond
-	// quarantinedBody is the body of the answer to a quarantined request.
-	quarantinedBody = "This request has crashed the targets that ran it, and is not run again for now (%s).\n"
+	// quarantinedBody is the body of the answer to a quarantined request, and
+	// quarantinedPartBody to one with a quarantined part.
+	quarantinedBody     = "This request has crashed the targets that ran it, and is not run again for now (%s).\n"
+	quarantinedPartBody = "A part of this prompt has crashed the targets that ran it, and is not run again for now (part %s).\n"
+	// unresolvedRetryAfter is about the time in which a probe shows whether a part crashes
+	// targets.
+	unresolvedRetryAfter = time.Second
+	// soundAfterEvents is the number of events after which an attempt has run well: a prompt
+	// that crashes targets does so earlier.
+	soundAfterEvents = 2
 )
 
 // errQuarantined ends attempts that have not begun when their request is quarantined.
 var errQuarantined = errors.New("ingress: request quarantined")
 
-// passesQuarantine reports whether the call may run. If its request is quarantined and the
-// call is not its probe, the call is answered.
+// poisonRequest returns what the tracker of poison requests needs to know of a call.
+func poisonRequest(grant desired.Grant, call *Call) poison.Request {
+	return poison.Request{Fingerprint: poison.Of(grant.Org, call.Method, call.Host, call.Path, call.Body),
+		Parts: poison.Parts(call.SharedParts), Org: grant.Org, Service: grant.Service.Name()}
+}
+
+// passesQuarantine reports whether the call may run. If its request or a part of its prompt
+// is quarantined, and the call is not its probe, the call is answered.
 func (c *activeCall) passesQuarantine(ctx context.Context) bool {
-	status := c.h.poisonTracker.Status(c.print, clock.Now())
-	if !status.Quarantined {
+	status := c.h.poisonTracker.Status(c.request, clock.Now())
+	if !status.Quarantined || c.limitToSoundTargets(status) {
 		return true
 	}
 	if c.h.Draining() || !c.takeProbe(ctx, status) {
 		c.answerQuarantined(status)
 		return false
 	}
-	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.print).Int("trial", status.Probe.Count).Int("deaths", status.Crashes).
-		Msg("ingress: quarantined request sent as a probe")
+	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("part", status.Part).Bool("unresolved", status.Unresolved).
+		Int("trial", status.Probes[0].Count).Int("deaths", status.Crashes).Msg("ingress: quarantined request sent as a probe")
+	return true
+}
+
+// limitToSoundTargets limits the call to targets of versions at which prompts with its
+// quarantined parts run well, and reports whether there are any.
+func (c *activeCall) limitToSoundTargets(st poison.Status) bool {
+	sound := map[string]bool{} // by version
+	now := clock.Now()
+	atSoundVersion := func(m *registry.Member) bool {
+		version := m.Target().Version()
+		if _, ok := sound[version]; !ok {
+			sound[version] = c.h.poisonTracker.SoundAt(c.request, version, now)
+		}
+		return sound[version]
+	}
+	if !c.anyAvailable(atSoundVersion) {
+		return false
+	}
+	c.targetFilter, c.soundElsewhere = atSoundVersion, true
+	c.h.log.Info().Str("request", c.call.ID).Str("part", st.Part).Int("deaths", st.Crashes).
+		Msg("ingress: request limited to versions at which its quarantined part runs well")
 	return true
 }
 
@@ -50,13 +86,16 @@
 // service has targets of a version that the request has not crashed.
 func (c *activeCall) takeProbe(ctx context.Context, st poison.Status) bool {
 	safeVersion := func(m *registry.Member) bool { return !st.HasCrashed(m.Target().Version()) }
+	if len(st.Probes) == 0 {
+		return false
+	}
 	if st.Wait > 0 {
 		if !c.anyAvailable(safeVersion) {
 			return false
 		}
 		c.targetFilter = safeVersion
 	}
-	c.isProbe = c.h.claimProbe(ctx, st.Probe)
+	c.isProbe = c.h.claimProbes(ctx, st.Probes)
 	return c.isProbe
 }
 
@@ -79,18 +118,26 @@
 // quarantined reports whether the call's request was quarantined after the call was
 // accepted.
 func (c *activeCall) quarantined() (poison.Status, bool) {
-	st := c.h.poisonTracker.Status(c.print, clock.Now())
-	return st, st.Quarantined && !c.isProbe
+	st := c.h.poisonTracker.Status(c.request, clock.Now())
+	return st, st.Quarantined && !c.isProbe && !c.soundElsewhere
 }
 
 // answerQuarantined answers a quarantined request. The status is 500, not 503, because the
 // request ran at the targets that it crashed. Retry-After is the time until a probe is due.
+// A call that did not run and whose part a probe is about to clear may come back soon.
 func (c *activeCall) answerQuarantined(st poison.Status) {
 	c.h.stats.quarantined.Inc(1)
-	c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.print).Str("route", c.grant.Route.Name()).Str("org", c.grant.Org).
+	if st.Unresolved && !c.mayHaveRun {
+		c.reject("part "+st.Part+" of the prompt is quarantined until a probe clears it", unresolvedRetryAfter)
+		return
+	}
+	c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("part", st.Part).Str("route", c.grant.Route.Name()).Str("org", c.grant.Org).
 		Str("service", c.service()).Int("sends", c.attempts).Int("deaths", st.Crashes).Dur("wait", st.Wait).Dur("after", clock.Now().Sub(c.call.Received)).
 		Int("status", http.StatusInternalServerError).Msg("ingress: quarantined request not run")
-	text := fmt.Sprintf(quarantinedBody, c.print)
+	text := fmt.Sprintf(quarantinedBody, c.request.Fingerprint)
+	if st.Part != "" {
+		text = fmt.Sprintf(quarantinedPartBody, st.Part)
+	}
 	h := c.w.Header()
 	h.Set("Retry-After", strconv.Itoa(int(max(st.Wait, time.Second)/time.Second)))
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -122,7 +169,15 @@
 func (c *activeCall) recordNoCrash() {
 	if !c.noCrashRecorded {
 		c.noCrashRecorded = true
-		c.h.poisonTracker.RecordSuccess(c.print, clock.Now())
+		c.h.poisonTracker.RecordSuccess(c.request.Fingerprint, clock.Now())
+	}
+}
+
+// recordSoundRun records that the call ran well at a target, so that no part of its prompt
+// crashes targets of that version.
+func (c *activeCall) recordSoundRun(m *registry.Member) {
+	if len(c.request.Parts) > 0 && c.h.poisonTracker.RecordSoundRun(c.request, m.Target().Version(), clock.Now()) {
+		c.h.notifyPeers()
 	}
 }
 
@@ -145,7 +200,7 @@
 	t := m.Target()
 	loss.Zone = c.countLostNeighbours(m, func(o ragworthitch.Target) bool { return o.Zone() == t.Zone() })
 	loss.Service = c.countLostNeighbours(m, func(o ragworthitch.Target) bool { return o.Service() == t.Service() })
-	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.print).Str("target", t.ID()).Int("zoneAsked", loss.Zone.Asked).Int("zoneLost", loss.Zone.Lost).
+	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("route", c.grant.Route.Name()).Str("target", t.ID()).Int("zoneAsked", loss.Zone.Asked).Int("zoneLost", loss.Zone.Lost).
 		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Int("events", events).Strs("promptParts", c.call.SharedParts).Bool("together", loss.InOutage()).
 		Msg("poison: target crashed soon after an attempt started")
 	if !loss.InOutage() && c.h.targetMemory.Crashed(c.service(), bodies, len(c.call.Body)) {
@@ -153,9 +208,8 @@
 			Msg("health: target crashed under the size of its requests")
 		return
 	}
-	crash := poison.Crash{Fingerprint: c.print, Boot: t.Boot(), Call: c.call.ID, Org: c.grant.Org, Service: c.service(),
-		Version: t.Version(), InOutage: loss.InOutage()}
-	if c.h.poisonTracker.RecordCrash(crash, poison.SourceOwn, clock.Now()) {
+	crash := poison.Crash{Boot: t.Boot(), Call: c.call.ID, Version: t.Version(), InOutage: loss.InOutage()}
+	if c.h.poisonTracker.RecordOwnCrash(c.request, crash, clock.Now()) {
 		c.h.notifyPeers()
 	}
 }
--- a/ingress/poison_test.go
+++ b/ingress/poison_test.go
@@ -207,7 +207,7 @@
 			peer.poisonTracker = h.poisonTracker
 			addTargets(h, "v1")
 			addTargets(peer, "v1")
-			quarantined, _ := h.poisonTracker.Await(poison.Of("", "POST", "h", "/p/x", []byte(poisonBody)))
+			quarantined, _ := h.poisonTracker.Await(poison.Request{Fingerprint: poison.Of("", "POST", "h", "/p/x", []byte(poisonBody))})
 			quarantinedAt := make(chan time.Time, 1)
 			go func() {
 				<-quarantined
@@ -260,7 +260,7 @@
 			h := newTestHandler(t, s, ragworthitch.CallStream)
 			addTargets(h, "v1")
 			c := newCall("harmless")
-			print := poison.Of("", c.Method, c.Host, c.Path, c.Body)
+			request := poison.Request{Fingerprint: poison.Of("", c.Method, c.Host, c.Path, c.Body)}
 			go func() {
 				time.Sleep(crashHeadDelay + crashEventInterval/2)
 				for _, m := range h.targets.All() {
@@ -269,12 +269,12 @@
 					}
 				}
 				time.Sleep(crashEventInterval + time.Millisecond)
-				assert.Equal(t, tt.crashes, h.poisonTracker.Status(print, clock.Now()).Crashes)
+				assert.Equal(t, tt.crashes, h.poisonTracker.Status(request, clock.Now()).Crashes)
 			}()
 			w, cut := serve(h, c)
 			assert.False(t, cut)
 			assert.Contains(t, w.Body.String(), fmt.Sprintf("id: %d\n", streamEvents))
-			assert.Equal(t, poison.Status{}, h.poisonTracker.Status(print, clock.Now()), "released by a successful attempt")
+			assert.Equal(t, poison.Status{}, h.poisonTracker.Status(request, clock.Now()), "released by a successful attempt")
 		})
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -145,7 +145,7 @@
 	if !a.headReceived || !errors.Is(err, upstream.ErrNotSent) { // the target did not just reject the call
 		s.lostAttempts = append(s.lostAttempts, lostAttempt{zone: m.Target().Zone(), at: now})
 	}
-	s.h.log.Warn().Str("request", s.call.ID).Stringer("fingerprint", s.print).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).
+	s.h.log.Warn().Str("request", s.call.ID).Stringer("fingerprint", s.request.Fingerprint).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).
 		Bool("fromCopy", a.replicaTarget != nil).Int64("lastEvent", s.lastID).Bool("answered", a.headReceived).Dur("generated", a.generationTime(now)).
 		Int("events", a.events).Dur("ran", now.Sub(a.startedAt)).Dur("quiet", now.Sub(a.lastActivityAt)).
 		Dur("after", now.Sub(s.call.Received)).Int("sends", s.attempts).Err(err).Msg("resume: attempt ended early")
@@ -244,7 +244,7 @@
 func (s *stream) logAttempt(m, replicaTarget *registry.Member, r *AttemptRequest, prefillTokens int) {
 	load, p := m.Work().All(), s.pace()
 	interval := s.activeCall.interval(m, p, clock.Now())
-	s.h.log.Info().Str("request", s.call.ID).Stringer("fingerprint", s.print).Str("route", s.grant.Route.Name()).Str("org", s.grant.Org).Int64("version", s.grant.Version).
+	s.h.log.Info().Str("request", s.call.ID).Stringer("fingerprint", s.request.Fingerprint).Str("route", s.grant.Route.Name()).Str("org", s.grant.Org).Int64("version", s.grant.Version).
 		Dur("proofAge", s.grant.Age).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
 		Int("tokens", load.Tokens).Bool("fromCopy", replicaTarget != nil).Str("copyTo", r.ReplicateTo).Int64("afterEvent", s.lastID).Int("prompt", s.call.Prompt).Strs("promptParts", s.call.SharedParts).
 		Uint8("rank", uint8(r.Rank)).Dur("engineGap", interval).Dur("expected", p.TimeToFirstEvent(prefillTokens, interval)).
--- a/instance/crashes.go
+++ b/instance/crashes.go
@@ -65,15 +65,15 @@
 	clock.Sleep(ctx, crashRetryDelay)
 }
 
-// claimProbe claims the probe of a quarantined request. It returns false if another
-// instance has claimed it or the store cannot be reached.
-func (i *Instance) claimProbe(ctx context.Context, probe poison.Probe) bool {
+// claimProbes claims the probes of one call, whose request or parts are quarantined. It
+// returns false if another instance has claimed one of them or the store cannot be reached.
+func (i *Instance) claimProbes(ctx context.Context, probes []poison.Probe) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
 	defer cancel()
-	row, err := platform.CrashWriter{Store: i.store}.ClaimProbe(ctx, probe)
+	row, err := platform.CrashWriter{Store: i.store}.ClaimProbes(ctx, probes)
 	if err != nil {
-		i.log.Info().Stringer("fingerprint", probe.Fingerprint).Int("trial", probe.Count).AnErr("cause", err).Msg("instance: probe not claimed")
+		i.log.Info().Stringer("fingerprint", probes[0].Fingerprint).Int("trial", probes[0].Count).AnErr("cause", err).Msg("instance: probe not claimed")
 		return false
 	}
-	return i.poisonTracker.ClaimProbe(probe, row, clock.Now())
+	return i.poisonTracker.ClaimProbes(probes, row, clock.Now())
 }
--- a/poison/bystanders_test.go
+++ b/poison/bystanders_test.go
@@ -86,7 +86,7 @@
 				lostAttempts, attributions = lostAttempts+lost, attributions+attributed
 				assert.Len(t, sim.crashesByRequest, c.Poison)
 				for name, n := range sim.crashesByRequest {
-					assert.True(t, sim.tracker.Status(fingerprintOf(name), sim.clock()).Quarantined, name)
+					assert.True(t, sim.tracker.Status(requestOf(name), sim.clock()).Quarantined, name)
 					assert.LessOrEqual(t, n, minCrashThreshold+maxLateCrashes, name)
 				}
 			}
@@ -125,7 +125,7 @@
 	}
 	for i := range sim.Poison {
 		name := fmt.Sprint("x", i)
-		if sim.occurs(1/poisonInterval.Seconds()) && !sim.tracker.Status(fingerprintOf(name), sim.clock()).Quarantined {
+		if sim.occurs(1/poisonInterval.Seconds()) && !sim.tracker.Status(requestOf(name), sim.clock()).Quarantined {
 			sim.send(&simulatedStream{name: name, isPoison: true})
 		}
 	}
@@ -208,7 +208,7 @@
 	sim.streams = nil
 	for _, s := range streams {
 		if !sim.targetLost(s) {
-			gaveUp := s.untilPrefilled > 0 && sim.tracker.Status(fingerprintOf(s.name), sim.clock()).Quarantined
+			gaveUp := s.untilPrefilled > 0 && sim.tracker.Status(requestOf(s.name), sim.clock()).Quarantined
 			if s.eventCount() < eventsPerStream && !gaveUp {
 				sim.streams = append(sim.streams, s)
 			}
@@ -222,7 +222,7 @@
 			crash.Call, crash.InOutage = fmt.Sprintf("%p", s), loss.InOutage()
 			sim.tracker.RecordCrash(crash, SourceOwn, sim.clock())
 		}
-		quarantined := sim.tracker.Status(fingerprintOf(s.name), sim.clock()).Quarantined
+		quarantined := sim.tracker.Status(requestOf(s.name), sim.clock()).Quarantined
 		if !s.isPoison {
 			lostAttempts++
 			if attributed {
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"time"
+
 	"github.com/ragworthitch/ragworthitch"
 )
 
@@ -24,12 +26,16 @@
 type (
 	// Crash is the crash of a target soon after it started a request.
 	Crash struct {
-		Fingerprint Fingerprint
+		Fingerprint Fingerprint       // of the request, or of a part of its prompt
+		Part        string            // id of the part; empty: the fingerprint is the request's
 		Boot        ragworthitch.Boot // of the target
 		Call        string            // id of the call that it ran
 		Org         string
 		Service     string
 		Version     string // of the target's software
+		// SoundBefore means that prompts with the part had run well recently.
+		SoundBefore bool
+		Age         time.Duration // time since the crash, if it is a part's and a peer reports it
 		// RecentSuccesses is how many attempts of the request had succeeded recently at the
 		// instance that observed the crash.
 		RecentSuccesses int
@@ -52,6 +58,10 @@
 	NeighbourCheck struct{ Asked, Lost int }
 )
 
+func (c Crash) partRun() partRun {
+	return partRun{part: c.Fingerprint, service: c.Service, version: c.Version}
+}
+
 // Young reports whether a request with this many events may have crashed its target.
 func Young(events int) bool { return events <= maxEarlyEvents }
 
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -1,13 +1,23 @@
-// Package poison detects poison requests, which crash the targets that run them, and
-// quarantines them. A crashed target looks like any other lost target, so its calls fail
-// over; a poison request then crashes the next target, for each retry of its caller and at
-// every instance.
+// Package poison detects requests, and parts of prompts that many requests share, which
+// crash the targets that run them, and quarantines them. A crashed target looks like any
+// other lost target, so its calls fail over; a poison request then crashes the next target,
+// for each retry of its caller and at every instance, and a poison part does so in every
+// request that has it.
 //
 // Instances report to their peers, and write to the store, which requests a target had
-// just started to run when it crashed (Crash). A request under which three targets have
-// crashed, and that has not succeeded since, is quarantined: all instances reject it at
-// once. The state of a request depends on how soon after the start of the attempt the
-// target crashed, whether others of its zone or service were lost with it, which other
-// requests it was running, and which attempts succeeded. A quarantine ends: after a delay,
-// or when the service has a new version, one instance probes the request once.
+// just started to run when it crashed (Crash). A crash counts against the request and
+// against each part of its prompt. One under which three targets have crashed, and that has
+// not succeeded since, is quarantined: all instances reject it at once. The state of a
+// suspect depends on how soon after the start of the attempt the target crashed, whether
+// others of its zone or service were lost with it, which other requests it was running, and
+// which attempts succeeded.
+//
+// Sound requests may share the caller and all parts but one with those that crash targets.
+// Each request that begins an answer clears the parts that it has (SoundRun), at targets of
+// the same service and version, and instances tell each other so. A part that has run well
+// lately is suspected only if it does not do so again soon after a crash. Of several parts
+// that no evidence tells apart, a request that has only some is sent as a probe.
+//
+// A quarantine ends: after a delay, or when the service has a new version, one instance
+// probes the request or part once.
 package poison
--- a/poison/rows.go
+++ b/poison/rows.go
@@ -5,8 +5,9 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-// maxCrashLog bounds the crashes that are kept to be reported to peers.
-const maxCrashLog = 256
+// maxReportLog bounds the crashes, and the sound runs, that are kept to be reported to
+// peers.
+const maxReportLog = 256
 
 type (
 	// RowKey identifies a row of the store: a crash, or, without a boot, the number of
@@ -31,39 +32,66 @@
 		Drop  []RowKey
 	}
 
-	// crashLog holds the crashes to be reported to peers, newest last.
-	crashLog struct {
-		recent []Crash
+	// reportLog holds what is reported to peers, newest last.
+	reportLog[T any] struct {
+		recent []T
 		total  uint64
 	}
+
+	loggedCrash struct {
+		Crash
+		at clock.Time
+	}
 )
 
 // CountsProbes reports whether the row counts probes.
 func (k RowKey) CountsProbes() bool { return k.Boot == ragworthitch.Boot{} }
 
-func (l *crashLog) add(c Crash) {
+func (l *reportLog[T]) add(v T) {
 	l.total++
-	l.recent = append(l.recent, c)
-	if len(l.recent) > 2*maxCrashLog {
-		l.recent = append([]Crash(nil), l.recent[len(l.recent)-maxCrashLog:]...)
+	l.recent = append(l.recent, v)
+	if len(l.recent) > 2*maxReportLog {
+		l.recent = append([]T(nil), l.recent[len(l.recent)-maxReportLog:]...)
 	}
 }
 
+// since returns what was added after the first n and is still in the log.
+func (l *reportLog[T]) since(n uint64) []T {
+	unseen := int(min(l.total-min(n, l.total), uint64(len(l.recent)), maxReportLog))
+	return l.recent[len(l.recent)-unseen:]
+}
+
 // CrashesSince returns the crashes recorded after the first n that are still in the log and
 // still count, and the number of crashes recorded so far.
-func (t *Tracker) CrashesSince(n uint64) ([]Crash, uint64) {
+func (t *Tracker) CrashesSince(n uint64, now clock.Time) ([]Crash, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	unseen := int(min(t.crashLog.total-min(n, t.crashLog.total), uint64(len(t.crashLog.recent)), maxCrashLog))
 	var out []Crash
-	for _, c := range t.crashLog.recent[len(t.crashLog.recent)-unseen:] {
-		if s := t.suspects[c.Fingerprint]; s != nil && s.crashes[c.Boot] != nil {
-			out = append(out, c)
+	for _, c := range t.crashLog.since(n) {
+		if s := t.suspects[c.Fingerprint]; s == nil || s.crashes[c.Boot] == nil {
+			continue
+		}
+		if c.Part != "" {
+			c.Age = now.Sub(c.at)
 		}
+		out = append(out, c.Crash)
 	}
 	return out, t.crashLog.total
 }
 
+// SoundRunsSince returns the sound runs recorded after the first n that are still in the
+// log, and the number of sound runs recorded so far.
+func (t *Tracker) SoundRunsSince(n uint64, now clock.Time) ([]SoundRun, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []SoundRun
+	for _, r := range t.soundLog.since(n) {
+		r.Age = now.Sub(r.at)
+		out = append(out, r.SoundRun)
+	}
+	return out, t.soundLog.total
+}
+
 // queueEdit queues a write to the store; t.mu is held.
 func (t *Tracker) queueEdit(e Edit) {
 	t.pendingEdits = append(t.pendingEdits, e)
@@ -142,7 +170,7 @@
 			t.applyDeletion(r.RowKey)
 		default:
 			if t.addCrash(r.Crash, SourceStore, now) {
-				t.crashLog.add(r.Crash)
+				t.crashLog.add(loggedCrash{r.Crash, now})
 			}
 		}
 	}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -14,38 +14,10 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-const (
-	// minCrashThreshold is the least number of crashed targets that quarantines a
-	// request.
-	minCrashThreshold = 3
-	// maxSuccessesPerCrash is the number of recent successful attempts per crash above
-	// which a request is not quarantined: a request that many callers send all the time
-	// is present at every target that crashes.
-	maxSuccessesPerCrash = 3
-	// strictOrgQuarantines is the number of quarantined requests of one organisation
-	// from which its other requests are quarantined at their first crash. It limits the
-	// damage of a caller that sends thousands of different poison requests, each of
-	// which otherwise costs minCrashThreshold targets.
-	strictOrgQuarantines = 16
-	// maxStoredCrashes bounds the crashes of one request that are written to the store.
-	maxStoredCrashes = 8
-	// maxSuspectsPerOrg and maxSuspects bound the records in memory, some 500 bytes
-	// each. Suspected requests are evicted before quarantined ones, and older before
-	// newer.
-	maxSuspectsPerOrg = 128
-	maxSuspects       = 2048
-	// suspectTTL is how long crashes count against a suspected request. quarantineTTL
-	// is how long a quarantined request is remembered after its last crash or probe.
-	suspectTTL    = 10 * time.Minute
-	quarantineTTL = 24 * time.Hour
-	// A quarantined request is probed once after firstProbeDelay; each failed probe
-	// multiplies the delay by probeDelayFactor. A wrong quarantine ends soon after a
-	// caller's next try; a right one costs three more targets in the first hour.
-	firstProbeDelay  = 30 * time.Second
-	probeDelayFactor = 10
-)
+// maxStoredCrashes bounds the crashes of one suspect that are written to the store.
+const maxStoredCrashes = 8
 
-// Causes in log lines about requests that are no longer tracked.
+// Causes in log lines about requests and parts that are no longer tracked.
 const (
 	causeSucceeded         = "ran well"
 	causeReleasedElsewhere = "released by another instance"
@@ -64,8 +36,8 @@
 	// Source says where a crash report comes from.
 	Source string
 
-	// Tracker tracks the requests that crash targets. The zero value is empty and ready to
-	// use.
+	// Tracker tracks the requests, and the parts of prompts, that crash targets. The zero
+	// value is empty and ready to use.
 	Tracker struct {
 		Log   zerolog.Logger
 		Scope tally.Scope // nil: no metrics
@@ -76,17 +48,22 @@
 		mu           sync.Mutex
 		suspects     map[Fingerprint]*suspect
 		released     map[Fingerprint]release
-		waiters      map[Fingerprint]map[chan struct{}]bool // closed when the request is quarantined
-		crashLog     crashLog
+		waiters      map[Fingerprint]map[*waiter]bool // by request and part
+		crashLog     reportLog[loggedCrash]
+		soundLog     reportLog[loggedSoundRun]
 		pendingEdits []Edit        // not yet written to the store
 		editQueued   chan struct{} // closed at the next edit; nil while nobody waits
 		successes    successCounter
+		soundRuns    soundRuns
 		losses       lossTable
+		settleAt     clock.Time // when the next crash begins to count; 0: none will
 	}
 
-	// suspect is a request under which targets have crashed; it may be quarantined.
+	// suspect is a request, or a part of prompts, under which targets have crashed; it may
+	// be quarantined.
 	suspect struct {
 		print           Fingerprint
+		part            string // id of the part; empty: a whole request
 		org             string
 		service         string
 		crashes         map[ragworthitch.Boot]*crashRecord
@@ -100,6 +77,7 @@
 	// crashRecord is a crash under a suspect, and where it has been recorded.
 	crashRecord struct {
 		Crash
+		at           clock.Time // of the crash
 		knownAt      clock.Time // when this instance learned of the crash
 		observedHere bool       // this instance writes the crash to the store
 		storeQueued  bool       // the write is queued or done
@@ -121,18 +99,21 @@
 
 	// Status is the state of a request that is about to be sent.
 	Status struct {
-		Crashes         int           // targets that have crashed under the request
-		Quarantined     bool          // the request must not be sent
+		Crashes     int    // targets that have crashed under the request or its quarantined part
+		Quarantined bool   // the request must not be sent
+		Part        string // id of the part that is quarantined; empty: the whole request is
+		// Unresolved means that the part is one of several in the prompts that crashed
+		// targets, and that this request does not have all of them. A probe tells them apart.
+		Unresolved      bool
 		Wait            time.Duration // until the next probe is due
-		Probe           Probe         // the next probe, to be claimed before it is sent
+		Probes          []Probe       // of the call, to be claimed together before it is sent; none: it must not be sent as a probe
 		crashedVersions []string      // of the targets that crashed
 	}
 
-	// Probe is one probe of a quarantined request. Only one instance may send it.
-	Probe struct {
-		Fingerprint Fingerprint
-		Count       int   // of probes, this one included
-		Row         int64 // version of the row that counts the probes, before this one; 0: no row
+	// waiter waits for the quarantine of a request or of one of its parts.
+	waiter struct {
+		request     Request
+		quarantined chan struct{} // closed when it is quarantined
 	}
 )
 
@@ -143,62 +124,51 @@
 }
 
 // Status returns the state of a request.
-func (t *Tracker) Status(f Fingerprint, now clock.Time) Status {
+func (t *Tracker) Status(r Request, now clock.Time) Status {
 	if t.suspectCount.Load() == 0 {
 		return Status{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[f]
-	if s == nil {
-		return Status{}
-	}
-	st := Status{Crashes: len(s.countedCrashes()), Quarantined: s.quarantined}
-	if !s.quarantined {
-		return st
+	t.settle(now)
+	var st Status
+	if s := t.suspects[r.Fingerprint]; s != nil && !s.quarantined {
+		st.Crashes = len(s.countedCrashes(now))
+	}
+	quarantined := t.quarantinedIn(r)
+	st.Quarantined, st.Unresolved = len(quarantined) > 0, len(quarantined) > 0
+	mayProbe := true
+	for _, s := range quarantined {
+		st.Crashes = max(st.Crashes, len(s.countedCrashes(now)))
+		st.Part = cmp.Or(st.Part, s.part)
+		unresolved := t.isUnresolved(s, r, now)
+		st.Unresolved = st.Unresolved && unresolved
+		st.Wait = max(st.Wait, s.untilProbe(unresolved, now))
+		st.Probes = append(st.Probes, Probe{Fingerprint: s.print, Count: s.probes + 1, Row: s.probeRowVersion})
+		mayProbe = mayProbe && s.mayBeProbed()
+		for _, c := range s.crashes {
+			st.crashedVersions = append(st.crashedVersions, c.Version)
+		}
 	}
-	st.Wait = max(0, s.updatedAt.Add(s.probeDelay()).Sub(now))
-	st.Probe = Probe{Fingerprint: f, Count: s.probes + 1, Row: s.probeRowVersion}
-	for _, c := range s.crashes {
-		st.crashedVersions = append(st.crashedVersions, c.Version)
+	if !mayProbe {
+		st.Probes = nil
 	}
 	return st
 }
 
-// probeDelay returns the time from the last change of a quarantined request to its next
-// probe.
-func (s *suspect) probeDelay() time.Duration {
-	d := firstProbeDelay
-	for range s.probes {
-		d = min(d*probeDelayFactor, quarantineTTL)
-	}
-	return d
-}
-
-// countedCrashes returns the crashes that count against a request: those of targets
-// that were lost alone, and those of targets that were lost with others if several of
-// them were running attempts of the request. A zone outage usually hits a single
-// attempt.
-func (s *suspect) countedCrashes() []*crashRecord {
-	var out []*crashRecord
-	for _, c := range s.crashes {
-		if !c.InOutage || s.hasConcurrentCrash(c) {
-			out = append(out, c)
-		}
+// quarantinedIn returns the quarantined suspects that keep a request from being sent: the
+// request itself and parts of its prompt; t.mu is held.
+func (t *Tracker) quarantinedIn(r Request) []*suspect {
+	var out []*suspect
+	if s := t.suspects[r.Fingerprint]; s != nil && s.quarantined {
+		out = append(out, s)
 	}
-	return out
-}
-
-// hasConcurrentCrash reports whether another call with the same request lost another
-// target at about the same time.
-func (s *suspect) hasConcurrentCrash(c *crashRecord) bool {
-	for _, o := range s.crashes {
-		interval := max(c.knownAt.Sub(o.knownAt), o.knownAt.Sub(c.knownAt))
-		if o.Boot != c.Boot && o.Call != c.Call && interval < OutageWindow {
-			return true
+	for _, p := range r.Parts {
+		if s := t.suspects[p.Fingerprint]; s != nil && s.quarantined && s.concerns(r) {
+			out = append(out, s)
 		}
 	}
-	return false
+	return out
 }
 
 // IsAttributed reports whether the crash of a target is attributed to any request.
@@ -213,54 +183,95 @@
 	return false
 }
 
-// Await returns a channel that is closed when the request is quarantined, at once if it
-// already is, and a function that cancels the wait.
-func (t *Tracker) Await(f Fingerprint) (quarantined <-chan struct{}, stop func()) {
+// Await returns a channel that is closed when the request or a part of it is quarantined,
+// at once if it already is, and a function that cancels the wait.
+func (t *Tracker) Await(r Request) (quarantined <-chan struct{}, stop func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	ch := make(chan struct{})
-	if s := t.suspects[f]; s != nil && s.quarantined {
-		close(ch)
-		return ch, func() {}
+	w := &waiter{request: r, quarantined: make(chan struct{})}
+	if len(t.quarantinedIn(r)) > 0 {
+		close(w.quarantined)
+		return w.quarantined, func() {}
 	}
 	if t.waiters == nil {
-		t.waiters = map[Fingerprint]map[chan struct{}]bool{}
+		t.waiters = map[Fingerprint]map[*waiter]bool{}
 	}
-	if t.waiters[f] == nil {
-		t.waiters[f] = map[chan struct{}]bool{}
+	for _, f := range r.fingerprints() {
+		if t.waiters[f] == nil {
+			t.waiters[f] = map[*waiter]bool{}
+		}
+		t.waiters[f][w] = true
 	}
-	t.waiters[f][ch] = true
-	return ch, func() {
+	return w.quarantined, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		delete(t.waiters[f], ch)
+		t.forgetWaiter(w)
+	}
+}
+
+// forgetWaiter removes a waiter; t.mu is held.
+func (t *Tracker) forgetWaiter(w *waiter) {
+	for _, f := range w.request.fingerprints() {
+		delete(t.waiters[f], w)
 		if len(t.waiters[f]) == 0 {
 			delete(t.waiters, f)
 		}
 	}
 }
 
-// RecordCrash records a crash that this instance observed or a peer reported. It reports
+// wakeWaiters wakes those who wait for a suspect that is now quarantined; t.mu is held.
+func (t *Tracker) wakeWaiters(s *suspect) {
+	for w := range t.waiters[s.print] {
+		if s.part == "" || s.concerns(w.request) {
+			close(w.quarantined)
+			t.forgetWaiter(w)
+		}
+	}
+}
+
+// RecordOwnCrash records a crash that this instance observed under a request, against the
+// request and against each part of its prompt. c has the other data of the crash. It reports
 // whether the crash was unknown.
+func (t *Tracker) RecordOwnCrash(r Request, c Crash, now clock.Time) bool {
+	c.Fingerprint, c.Org, c.Service = r.Fingerprint, r.Org, r.Service
+	crashes := []Crash{c}
+	for _, p := range r.Parts {
+		c.Fingerprint, c.Part = p.Fingerprint, p.ID
+		crashes = append(crashes, c)
+	}
+	return t.RecordCrashes(crashes, SourceOwn, now)
+}
+
+// RecordCrash is like RecordCrashes for one crash.
 func (t *Tracker) RecordCrash(c Crash, source Source, now clock.Time) bool {
-	if source == SourceOwn {
-		c.RecentSuccesses = t.successes.recent(c.Fingerprint, now)
-	}
+	return t.RecordCrashes([]Crash{c}, source, now)
+}
+
+// RecordCrashes records crashes that this instance observed or a peer reported. It reports
+// whether any of them was unknown.
+func (t *Tracker) RecordCrashes(crashes []Crash, source Source, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.addCrash(c, source, now) {
-		return false
+	anyNew := false
+	for _, c := range crashes {
+		if source == SourceOwn && c.Part == "" {
+			c.RecentSuccesses = t.successes.recent(c.Fingerprint, now)
+		}
+		if t.addCrash(c, source, now) {
+			anyNew = true
+			t.crashLog.add(loggedCrash{c, now.Add(-c.Age)})
+		}
 	}
-	t.crashLog.add(c)
-	t.evaluate(now)
-	t.storeCrashes(t.suspects[c.Fingerprint])
-	return true
+	if anyNew {
+		t.evaluate(now)
+	}
+	return anyNew
 }
 
 // storeCrashes queues the crashes that this instance observed, and that count, for the
 // store; t.mu is held.
-func (t *Tracker) storeCrashes(s *suspect) {
-	for _, c := range s.countedCrashes() {
+func (t *Tracker) storeCrashes(s *suspect, now clock.Time) {
+	for _, c := range s.countedCrashes(now) {
 		if c.observedHere && !c.storeQueued && len(s.crashes) <= maxStoredCrashes {
 			c.storeQueued = true
 			t.queueEdit(Edit{Crash: c.Crash})
@@ -273,10 +284,18 @@
 	if t.released[c.Fingerprint].boots[c.Boot] {
 		return false
 	}
+	at := now.Add(-c.Age)
+	if c.Part != "" {
+		soundAt := t.soundRuns.lastAt(c.partRun(), now)
+		if soundAt > at {
+			return false // prompts with the part have run well since
+		}
+		c.SoundBefore = c.SoundBefore || soundAt != 0
+	}
 	s := t.suspects[c.Fingerprint]
 	if s == nil {
 		t.evictFor(c.Org, source == SourceOwn)
-		s = &suspect{print: c.Fingerprint, org: c.Org, service: c.Service, crashes: map[ragworthitch.Boot]*crashRecord{}}
+		s = &suspect{print: c.Fingerprint, part: c.Part, org: c.Org, service: c.Service, crashes: map[ragworthitch.Boot]*crashRecord{}}
 		t.suspects[c.Fingerprint] = s
 		t.suspectCount.Store(int32(len(t.suspects)))
 	}
@@ -284,11 +303,11 @@
 		known.stored = known.stored || source == SourceStore
 		return false
 	}
-	s.crashes[c.Boot] = &crashRecord{Crash: c, knownAt: now, observedHere: source == SourceOwn, stored: source == SourceStore}
+	s.crashes[c.Boot] = &crashRecord{Crash: c, at: at, knownAt: now, observedHere: source == SourceOwn, stored: source == SourceStore}
 	s.updatedAt = now
-	t.incCounter("poison_deaths")
-	t.Log.Warn().Stringer("fingerprint", c.Fingerprint).Str("org", c.Org).Str("service", c.Service).Str("target", c.Boot.ID()).
-		Str("call", c.Call).Str("targetVersion", c.Version).Bool("together", c.InOutage).Str("from", string(source)).Int("deaths", len(s.countedCrashes())).Msg("poison: target crashed as it began a request")
+	t.incCounter(s, "deaths")
+	s.describe(t.Log.Warn()).Str("target", c.Boot.ID()).Str("call", c.Call).Str("targetVersion", c.Version).Bool("together", c.InOutage).
+		Str("from", string(source)).Int("deaths", len(s.countedCrashes(now))).Msg(s.messages().crashed)
 	return true
 }
 
@@ -332,174 +351,8 @@
 		t.queueEdit(Edit{Drop: rows})
 	}
 	if s.quarantined {
-		t.incCounter("poison_cleared")
-	}
-	t.Log.Info().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Int("deaths", len(s.crashes)).
-		Bool("wasCondemned", s.quarantined).Int("trials", s.probes).Str("cause", cause).Msg("poison: request is no longer tracked")
-}
-
-// evaluate decides which suspects are quarantined. It starts with the suspects that have
-// the most crashes: a target's crash is not attributed to a request if a quarantined request
-// with more crashes ran there too. t.mu is held.
-func (t *Tracker) evaluate(now clock.Time) {
-	var ranked []countedSuspect
-	quarantinedByOrg := map[string]int{}
-	attributedBoots := map[ragworthitch.Boot]bool{}
-	for _, s := range t.suspects {
-		crashes := s.countedCrashes()
-		ranked = append(ranked, countedSuspect{s, crashes})
-		if s.quarantined {
-			quarantinedByOrg[s.org]++
-		}
-		for _, c := range crashes {
-			attributedBoots[c.Boot] = true
-		}
-	}
-	slices.SortFunc(ranked, func(x, y countedSuspect) int {
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), slices.Compare(x.print[:], y.print[:]))
-	})
-	maxCrashesByBoot := map[ragworthitch.Boot]int{} // the most crashes of any quarantined request that ran there
-	for _, s := range ranked {
-		threshold := crashThreshold(t.losses.independentRate(s.service, func(boot ragworthitch.Boot) bool { return attributedBoots[boot] }, now))
-		if quarantinedByOrg[s.org] >= strictOrgQuarantines {
-			threshold = 1
-		}
-		if s.quarantined {
-			threshold = min(threshold, s.threshold)
-		}
-		attributed := 0
-		for _, c := range s.crashes {
-			if maxCrashesByBoot[c.Boot] <= len(s.crashes) {
-				attributed++
-			}
-		}
-		quarantine := !t.DryRun && attributed >= threshold && t.recentSuccesses(s.suspect, now) <= maxSuccessesPerCrash*len(s.crashes)
-		if quarantine {
-			for _, c := range s.crashes {
-				maxCrashesByBoot[c.Boot] = max(maxCrashesByBoot[c.Boot], len(s.crashes))
-			}
-		}
-		t.setQuarantined(s.suspect, quarantine, now)
-		s.threshold = threshold
-	}
-}
-
-// recentSuccesses returns how many attempts of a request succeeded recently: the highest
-// count of this instance and of the instances that observed a crash under the request.
-func (t *Tracker) recentSuccesses(s *suspect, now clock.Time) int {
-	n := t.successes.recent(s.print, now)
-	for _, c := range s.crashes {
-		n = max(n, c.RecentSuccesses)
-	}
-	return n
-}
-
-// setQuarantined quarantines or releases a suspect and logs the change; t.mu is held.
-func (t *Tracker) setQuarantined(s *suspect, quarantined bool, now clock.Time) {
-	if quarantined == s.quarantined {
-		return
-	}
-	s.quarantined, s.updatedAt = quarantined, now
-	if !quarantined {
-		t.incCounter("poison_cleared")
-		t.Log.Info().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Int("deaths", len(s.crashes)).
-			Int("ranWellLately", t.recentSuccesses(s, now)).Msg("poison: quarantined request released")
-		return
-	}
-	t.incCounter("poison_condemned")
-	t.Log.Warn().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Strs("targets", s.targetIDs()).
-		Int("ranWellLately", t.recentSuccesses(s, now)).Int("trials", s.probes).Dur("hold", s.probeDelay()).Msg("poison: request quarantined")
-	for ch := range t.waiters[s.print] {
-		close(ch)
-	}
-	delete(t.waiters, s.print)
-}
-
-// targetIDs returns the ids of the targets whose crashes count, sorted.
-func (s *suspect) targetIDs() []string {
-	var out []string
-	for _, c := range s.countedCrashes() {
-		out = append(out, c.Boot.ID())
-	}
-	slices.Sort(out)
-	return out
-}
-
-// ClaimProbe takes a probe for this instance. It returns false if another probe has been
-// made since the status was read. After a claim no probe is due until the longer delay is
-// over.
-func (t *Tracker) ClaimProbe(p Probe, row int64, now clock.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.suspects[p.Fingerprint]
-	if s == nil || s.probes >= p.Count {
-		return false
-	}
-	t.recordProbe(s, p.Count, row, now)
-	return true
-}
-
-// recordProbe counts a probe; t.mu is held.
-func (t *Tracker) recordProbe(s *suspect, count int, row int64, now clock.Time) {
-	s.probes, s.probeRowVersion, s.updatedAt = count, max(s.probeRowVersion, row), now
-	t.incCounter("poison_trials")
-	t.Log.Info().Stringer("fingerprint", s.print).Str("org", s.org).Str("service", s.service).Int("trials", count).Dur("hold", s.probeDelay()).
-		Msg("poison: quarantined request is probed once")
-}
-
-// evictFor evicts suspects until there is room for one more of an organisation, and
-// deletes their rows in the store if dropRows is set; t.mu is held.
-func (t *Tracker) evictFor(org string, dropRows bool) {
-	if t.suspects == nil {
-		t.suspects = map[Fingerprint]*suspect{}
-	}
-	orgSuspects := 0
-	for _, s := range t.suspects {
-		if s.org == org {
-			orgSuspects++
-		}
-	}
-	if orgSuspects >= maxSuspectsPerOrg {
-		t.clear(t.evictionCandidate(func(s *suspect) bool { return s.org == org }), causeEvicted, dropRows)
-	}
-	if len(t.suspects) >= maxSuspects {
-		t.clear(t.evictionCandidate(func(*suspect) bool { return true }), causeEvicted, dropRows)
-	}
-}
-
-// evictionCandidate returns the suspect to evict among those that match; t.mu is held.
-func (t *Tracker) evictionCandidate(match func(*suspect) bool) *suspect {
-	var out *suspect
-	for _, s := range t.suspects {
-		if match(s) && (out == nil || out.quarantined && !s.quarantined || out.quarantined == s.quarantined && s.updatedAt < out.updatedAt) {
-			out = s
-		}
-	}
-	return out
-}
-
-// Expire removes expired records, also from the store.
-func (t *Tracker) Expire(now clock.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.suspects {
-		ttl := suspectTTL
-		if s.quarantined {
-			ttl = quarantineTTL
-		}
-		if now.Sub(s.updatedAt) > ttl {
-			t.clear(s, causeExpired, true)
-		}
-	}
-	for f, r := range t.released {
-		if now.Sub(r.at) > suspectTTL {
-			delete(t.released, f)
-		}
-	}
-}
-
-func (t *Tracker) incCounter(name string) {
-	if t.Scope != nil {
-		t.Scope.Counter(name).Inc(1)
+		t.incCounter(s, "cleared")
 	}
+	s.describe(t.Log.Info()).Int("deaths", len(s.crashes)).Bool("wasCondemned", s.quarantined).Int("trials", s.probes).Str("cause", cause).
+		Msg(s.messages().untracked)
 }
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -20,6 +20,10 @@
 
 func fingerprintOf(name string) Fingerprint { return Of(name[:1], "POST", "h", "/"+name, nil) }
 
+func requestOf(name string) Request {
+	return Request{Fingerprint: fingerprintOf(name), Org: name[:1], Service: "llm"}
+}
+
 // crashOf returns a crash of a target, with a version and a number of recent successes
 // if they are given.
 func crashOf(name, target string, versionAndSuccesses ...string) Crash {
@@ -62,7 +66,7 @@
 	}
 	var st Status
 	if len(args) > 0 {
-		st = tracker.Status(fingerprintOf(args[0]), now)
+		st = tracker.Status(requestOf(args[0]), now)
 	}
 	switch verb {
 	case "crashed":
@@ -113,7 +117,7 @@
 	case "probe":
 		assert.True(t, st.Quarantined, text)
 		assert.Zero(t, st.Wait, text)
-		assert.Equal(t, n(), st.Probe.Count, text)
+		assert.Equal(t, n(), st.Probes[0].Count, text)
 	case "crashed-version", "other-version":
 		assert.Equal(t, verb == "crashed-version", st.HasCrashed(args[1]), text)
 	default:
@@ -129,9 +133,9 @@
 // Waiters are woken when their request is quarantined, and only then.
 func TestAwait(t *testing.T) {
 	var tracker Tracker
-	quarantined, stop := tracker.Await(fingerprintOf("a"))
+	quarantined, stop := tracker.Await(requestOf("a"))
 	defer stop()
-	other, stopOther := tracker.Await(fingerprintOf("b"))
+	other, stopOther := tracker.Await(requestOf("b"))
 	defer stopOther()
 	for i := range minCrashThreshold {
 		select {
@@ -147,7 +151,7 @@
 		t.Fatal("a waiter of another request is woken")
 	default:
 	}
-	later, stopLater := tracker.Await(fingerprintOf("a"))
+	later, stopLater := tracker.Await(requestOf("a"))
 	defer stopLater()
 	<-later
 }
@@ -176,12 +180,12 @@
 	var tracker Tracker
 	tracker.RecordCrash(crashOf("a", "t1"), SourceOwn, 1)
 	tracker.RecordCrash(crashOf("b", "t1"), SourcePeer, 1)
-	crashes, n := tracker.CrashesSince(0)
+	crashes, n := tracker.CrashesSince(0, 2)
 	assert.Equal(t, []Crash{crashOf("a", "t1"), crashOf("b", "t1")}, crashes)
-	crashes, _ = tracker.CrashesSince(n)
+	crashes, _ = tracker.CrashesSince(n, 2)
 	assert.Empty(t, crashes)
 	tracker.RecordSuccess(fingerprintOf("a"), 2)
-	crashes, _ = tracker.CrashesSince(0)
+	crashes, _ = tracker.CrashesSince(0, 2)
 	assert.Equal(t, []Crash{crashOf("b", "t1")}, crashes)
 }
 
@@ -197,16 +201,16 @@
 	const requests = 5000
 	for n := range requests {
 		name := fmt.Sprint("a", n)
-		for i := 0; !tracker.Status(fingerprintOf(name), 2).Quarantined; i++ {
+		for i := 0; !tracker.Status(requestOf(name), 2).Quarantined; i++ {
 			tracker.RecordCrash(crashOf(name, fmt.Sprint(n, "-", i)), SourceOwn, 2)
 			crashed++
 		}
 	}
-	assert.True(t, tracker.Status(fingerprintOf("z"), 3).Quarantined)
+	assert.True(t, tracker.Status(requestOf("z"), 3).Quarantined)
 	assert.LessOrEqual(t, len(tracker.suspects), maxSuspectsPerOrg+1)
 	assert.LessOrEqual(t, crashed, requests+strictOrgQuarantines*minCrashThreshold)
 	last := fmt.Sprint("a", requests-1)
-	assert.True(t, tracker.Status(fingerprintOf(last), 3).Quarantined)
+	assert.True(t, tracker.Status(requestOf(last), 3).Quarantined)
 }
 
 // Each change of a request's state is logged with its cause and counted.
@@ -220,7 +224,7 @@
 	assert.Equal(t, minCrashThreshold, strings.Count(log.String(), "poison: target crashed as it began a request"))
 	assert.Contains(t, log.String(), `"targets":["t0","t1","t2"]`)
 	assert.Equal(t, 1, strings.Count(log.String(), "poison: request quarantined"))
-	require.True(t, tracker.ClaimProbe(tracker.Status(fingerprintOf("a"), 2).Probe, 9, 2))
+	require.True(t, tracker.ClaimProbe(tracker.Status(requestOf("a"), 2).Probes[0], 9, 2))
 	assert.Contains(t, log.String(), "poison: quarantined request is probed once")
 	tracker.RecordSuccess(fingerprintOf("a"), 3)
 	assert.Contains(t, log.String(), `"cause":"ran well"`)
--- /dev/null
+++ b/poison/verdict.go
@@ -0,0 +1,218 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/clock"
+)
+
+const (
+	// minCrashThreshold is the least number of crashed targets that quarantines a
+	// request or part.
+	minCrashThreshold = 3
+	// maxSuccessesPerCrash is the number of recent successful attempts per crash above
+	// which a request is not quarantined: a request that many callers send all the time
+	// is present at every target that crashes.
+	maxSuccessesPerCrash = 3
+	// strictOrgQuarantines is the number of quarantined requests of one organisation
+	// from which its other requests are quarantined at their first crash. It limits the
+	// damage of a caller that sends thousands of different poison requests, each of
+	// which otherwise costs minCrashThreshold targets.
+	strictOrgQuarantines = 16
+	// settleTime is the time from a crash until it counts against a part that has run well
+	// lately. A sound part runs well again within that time, also at other instances.
+	settleTime = 2 * time.Second
+)
+
+// evaluate decides which suspects are quarantined. It starts with the suspects that have
+// the most crashes: a target's crash is not attributed to a suspect if a quarantined one
+// with more crashes ran there too. t.mu is held.
+func (t *Tracker) evaluate(now clock.Time) {
+	ranked := t.rank(now)
+	quarantinedByOrg, attributedBoots := map[string]int{}, map[ragworthitch.Boot]bool{}
+	for _, s := range ranked {
+		if s.quarantined && s.part == "" {
+			quarantinedByOrg[s.org]++
+		}
+		for _, c := range s.crashes {
+			attributedBoots[c.Boot] = true
+		}
+	}
+	thresholds := map[string]int{}                  // by service
+	maxCrashesByBoot := map[ragworthitch.Boot]int{} // the most crashes of any quarantined suspect that ran there
+	for _, s := range ranked {
+		threshold, ok := thresholds[s.service]
+		if !ok {
+			threshold = crashThreshold(t.losses.independentRate(s.service, func(boot ragworthitch.Boot) bool { return attributedBoots[boot] }, now))
+			thresholds[s.service] = threshold
+		}
+		if s.part == "" && quarantinedByOrg[s.org] >= strictOrgQuarantines && !t.hasBystanders(s.suspect) {
+			threshold = 1
+		}
+		if s.part != "" && slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.InOutage }) {
+			threshold = maxCrashThreshold // calls with a part are at several targets of a zone by chance
+		}
+		if s.quarantined {
+			threshold = min(threshold, s.threshold)
+		}
+		quarantine := !t.DryRun && s.attributed(maxCrashesByBoot) >= threshold && !t.mostlySucceeds(s, now)
+		if quarantine {
+			for _, c := range s.crashes {
+				maxCrashesByBoot[c.Boot] = max(maxCrashesByBoot[c.Boot], len(s.crashes))
+			}
+		}
+		t.setQuarantined(s.suspect, quarantine, now)
+		s.threshold = threshold
+		t.storeCrashes(s.suspect, now)
+	}
+	t.scheduleSettling(now)
+}
+
+// rank returns the suspects with the crashes that count, those with the most crashes first
+// and, among equals, those that have not run well before; t.mu is held.
+func (t *Tracker) rank(now clock.Time) []countedSuspect {
+	ranked := make([]countedSuspect, 0, len(t.suspects))
+	for _, s := range t.suspects {
+		ranked = append(ranked, countedSuspect{s, s.countedCrashes(now)})
+	}
+	slices.SortFunc(ranked, func(x, y countedSuspect) int {
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(len(x.ranWell()), len(y.ranWell())), slices.Compare(x.print[:], y.print[:]))
+	})
+	return ranked
+}
+
+// ranWell returns the crashes before which prompts with the part had run well.
+func (s countedSuspect) ranWell() []*crashRecord {
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return !c.SoundBefore })
+}
+
+// attributed returns how many crashes no other suspect explains better. A part that has run
+// well before is no better an explanation than one with as many crashes that has not.
+func (s countedSuspect) attributed(maxCrashesByBoot map[ragworthitch.Boot]int) int {
+	n := 0
+	for _, c := range s.crashes {
+		others := maxCrashesByBoot[c.Boot]
+		if others < len(s.crashes) || others == len(s.crashes) && !c.SoundBefore {
+			n++
+		}
+	}
+	return n
+}
+
+// mostlySucceeds reports whether a request succeeds so often that it is at every target
+// that crashes. A part is told by its sound runs instead.
+func (t *Tracker) mostlySucceeds(s countedSuspect, now clock.Time) bool {
+	return s.part == "" && t.recentSuccesses(s.suspect, now) > maxSuccessesPerCrash*len(s.crashes)
+}
+
+// hasBystanders reports whether another call had just begun at a target that crashed under
+// the request; t.mu is held.
+func (t *Tracker) hasBystanders(s *suspect) bool {
+	for _, o := range t.suspects {
+		for boot, c := range s.crashes {
+			if other := o.crashes[boot]; other != nil && other.Call != c.Call {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// concerns reports whether a part's crashes concern a request. Crashes under requests of one
+// organisation don't stop the requests of others, since a caller may name any part.
+func (s *suspect) concerns(r Request) bool {
+	for _, c := range s.crashes {
+		if c.Org == r.Org || c.Org != s.org {
+			return true
+		}
+	}
+	return false
+}
+
+// settle evaluates the suspects anew if crashes have begun to count; t.mu is held.
+func (t *Tracker) settle(now clock.Time) {
+	if t.settleAt != 0 && now >= t.settleAt {
+		t.evaluate(now)
+	}
+}
+
+// scheduleSettling sets when the next crash begins to count; t.mu is held.
+func (t *Tracker) scheduleSettling(now clock.Time) {
+	t.settleAt = 0
+	for _, s := range t.suspects {
+		for _, c := range s.crashes {
+			at := c.at.Add(settleTime)
+			if c.SoundBefore && at > now && (t.settleAt == 0 || at < t.settleAt) {
+				t.settleAt = at
+			}
+		}
+	}
+}
+
+// recentSuccesses returns how many attempts of a request succeeded recently: the highest
+// count of this instance and of the instances that observed a crash under the request.
+func (t *Tracker) recentSuccesses(s *suspect, now clock.Time) int {
+	n := t.successes.recent(s.print, now)
+	for _, c := range s.crashes {
+		n = max(n, c.RecentSuccesses)
+	}
+	return n
+}
+
+// setQuarantined quarantines or releases a suspect and logs the change; t.mu is held.
+func (t *Tracker) setQuarantined(s *suspect, quarantined bool, now clock.Time) {
+	if quarantined == s.quarantined {
+		return
+	}
+	s.quarantined, s.updatedAt = quarantined, now
+	if !quarantined {
+		t.incCounter(s, "cleared")
+		s.describe(t.Log.Info()).Int("deaths", len(s.crashes)).Int("ranWellLately", t.recentSuccesses(s, now)).Msg(s.messages().released)
+		return
+	}
+	t.incCounter(s, "condemned")
+	s.describe(t.Log.Warn()).Strs("targets", s.targetIDs(now)).Int("ranWellLately", t.recentSuccesses(s, now)).Int("trials", s.probes).
+		Dur("hold", s.probeDelay()).Msg(s.messages().quarantined)
+	t.wakeWaiters(s)
+}
+
+// targetIDs returns the ids of the targets whose crashes count, sorted.
+func (s *suspect) targetIDs(now clock.Time) []string {
+	var out []string
+	for _, c := range s.countedCrashes(now) {
+		out = append(out, c.Boot.ID())
+	}
+	slices.Sort(out)
+	return out
+}
+
+// countedCrashes returns the crashes that count against a suspect: those of targets
+// that were lost alone, and those of targets that were lost with others if several of
+// them were running attempts of it. A zone outage usually hits a single attempt. A crash
+// counts against a part that has run well lately once it has not done so again for
+// settleTime.
+func (s *suspect) countedCrashes(now clock.Time) []*crashRecord {
+	var out []*crashRecord
+	for _, c := range s.crashes {
+		settled := !c.SoundBefore || now.Sub(c.at) >= settleTime
+		if settled && (!c.InOutage || s.hasConcurrentCrash(c)) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// hasConcurrentCrash reports whether another call with the same request lost another
+// target at about the same time.
+func (s *suspect) hasConcurrentCrash(c *crashRecord) bool {
+	for _, o := range s.crashes {
+		interval := max(c.knownAt.Sub(o.knownAt), o.knownAt.Sub(c.knownAt))
+		if o.Boot != c.Boot && o.Call != c.Call && interval < OutageWindow {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/wire/crashes.go
@@ -0,0 +1,90 @@
+package wire
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/poison"
+)
+
+// encodeCrashes returns the frames of the crashes under requests and under parts.
+func encodeCrashes(crashes []poison.Crash) (requests []crashFrame, parts []partCrashFrame) {
+	for _, c := range crashes {
+		f := crashFrame{F: c.Fingerprint[:], T: c.Boot.ID(), B: c.Boot.Started(), C: c.Call, A: c.InOutage, W: c.RecentSuccesses, O: c.Org, S: c.Service, V: c.Version}
+		if c.Part == "" {
+			requests = append(requests, f)
+			continue
+		}
+		parts = append(parts, partCrashFrame{C: f, P: c.Part, S: c.SoundBefore, G: encodeAge(c.Age)})
+	}
+	return requests, parts
+}
+
+func decodeCrashes(requests []crashFrame, parts []partCrashFrame) ([]poison.Crash, error) {
+	var out []poison.Crash
+	for _, f := range requests {
+		c, err := decodeCrash(f)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, c)
+	}
+	for _, f := range parts {
+		c, err := decodeCrash(f.C)
+		if err != nil {
+			return nil, err
+		}
+		if c.Age, err = decodeAge(f.G); err != nil || f.P == "" {
+			return nil, fmt.Errorf("%w: crash under part %q: %v", ErrBadFrame, f.P, err)
+		}
+		c.Part, c.SoundBefore = f.P, f.S
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+func decodeCrash(f crashFrame) (poison.Crash, error) {
+	print, err := decodeFingerprint(f.F)
+	return poison.Crash{Fingerprint: print, Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, InOutage: f.A, RecentSuccesses: f.W, Org: f.O, Service: f.S, Version: f.V}, err
+}
+
+func encodeSoundRuns(runs []poison.SoundRun) []soundRunFrame {
+	var out []soundRunFrame
+	for _, r := range runs {
+		out = append(out, soundRunFrame{F: r.Part[:], S: r.Service, V: r.Version, G: encodeAge(r.Age)})
+	}
+	return out
+}
+
+func decodeSoundRuns(frames []soundRunFrame) ([]poison.SoundRun, error) {
+	var out []poison.SoundRun
+	for _, f := range frames {
+		print, err := decodeFingerprint(f.F)
+		if err != nil {
+			return nil, err
+		}
+		age, err := decodeAge(f.G)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, poison.SoundRun{Part: print, Service: f.S, Version: f.V, Age: age})
+	}
+	return out, nil
+}
+
+func decodeFingerprint(b []byte) (poison.Fingerprint, error) {
+	if len(b) != len(poison.Fingerprint{}) {
+		return poison.Fingerprint{}, fmt.Errorf("%w: fingerprint of %d bytes", ErrBadFrame, len(b))
+	}
+	return poison.Fingerprint(b), nil
+}
+
+func encodeAge(age time.Duration) int64 { return min(max(age, 0), maxReportAge).Milliseconds() }
+
+func decodeAge(ms int64) (time.Duration, error) {
+	if ms < 0 || ms > maxReportAge.Milliseconds() {
+		return 0, fmt.Errorf("%w: age of %d ms", ErrBadFrame, ms)
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
--- a/wire/view.go
+++ b/wire/view.go
@@ -20,8 +20,11 @@
 // maxViewFrame bounds a frame in bytes; a thousand targets fit.
 const maxViewFrame = 128 << 10
 
-// maxRateLimitAge bounds RateLimit.Age.
-const maxRateLimitAge = 24 * time.Hour
+// maxRateLimitAge bounds RateLimit.Age, and maxReportAge the ages of crashes and sound runs.
+const (
+	maxRateLimitAge = 24 * time.Hour
+	maxReportAge    = time.Hour
+)
 
 type (
 	// View reports the load of an entry instance at the targets, as changes since
@@ -31,6 +34,7 @@
 		Loads          []TargetLoad
 		CacheLocations []CacheLocation
 		Crashes        []poison.Crash
+		SoundRuns      []poison.SoundRun
 		RateLimits     []RateLimit
 	}
 
@@ -71,6 +75,8 @@
 		D []crashFrame         `cbor:"4,keyasint,omitempty"`
 		B []bodiesFrame        `cbor:"5,keyasint,omitempty"`
 		R []rateLimitFrame     `cbor:"6,keyasint,omitempty"`
+		Q []partCrashFrame     `cbor:"7,keyasint,omitempty"`
+		S []soundRunFrame      `cbor:"8,keyasint,omitempty"`
 	}
 
 	rateLimitFrame struct {
@@ -103,6 +109,24 @@
 		A bool
 	}
 
+	// partCrashFrame is apart from crashFrame so that instances without it can read the
+	// view.
+	partCrashFrame struct {
+		_ struct{} `cbor:",toarray"`
+		C crashFrame
+		P string
+		S bool
+		G int64 // milliseconds
+	}
+
+	soundRunFrame struct {
+		_ struct{} `cbor:",toarray"`
+		F []byte
+		S string
+		V string
+		G int64 // milliseconds
+	}
+
 	cacheLocationFrame struct {
 		_ struct{} `cbor:",toarray"`
 		S string
@@ -124,7 +148,7 @@
 
 // HasNews reports whether the view says anything but that the instance is there.
 func (v View) HasNews() bool {
-	return len(v.Loads) > 0 || len(v.CacheLocations) > 0 || len(v.Crashes) > 0 || len(v.RateLimits) > 0
+	return len(v.Loads) > 0 || len(v.CacheLocations) > 0 || len(v.Crashes) > 0 || len(v.SoundRuns) > 0 || len(v.RateLimits) > 0
 }
 
 // EncodeView maps a view to its CBOR frame.
@@ -136,29 +160,12 @@
 		}
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.YieldingPrefill, R: l.Running, K: l.Tokens, G: l.EventInterval.Microseconds()})
 	}
-	f.P, f.D, f.R = encodeCacheLocations(v.CacheLocations), encodeCrashes(v.Crashes), encodeRateLimits(v.RateLimits)
+	f.P, f.R = encodeCacheLocations(v.CacheLocations), encodeRateLimits(v.RateLimits)
+	f.D, f.Q = encodeCrashes(v.Crashes)
+	f.S = encodeSoundRuns(v.SoundRuns)
 	return cbor.Marshal(f)
 }
 
-func encodeCrashes(crashes []poison.Crash) []crashFrame {
-	var out []crashFrame
-	for _, c := range crashes {
-		out = append(out, crashFrame{F: c.Fingerprint[:], T: c.Boot.ID(), B: c.Boot.Started(), C: c.Call, A: c.InOutage, W: c.RecentSuccesses, O: c.Org, S: c.Service, V: c.Version})
-	}
-	return out
-}
-
-func decodeCrashes(frames []crashFrame) ([]poison.Crash, error) {
-	var out []poison.Crash
-	for _, f := range frames {
-		if len(f.F) != len(poison.Fingerprint{}) {
-			return nil, fmt.Errorf("%w: fingerprint of %d bytes", ErrBadFrame, len(f.F))
-		}
-		out = append(out, poison.Crash{Fingerprint: poison.Fingerprint(f.F), Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, InOutage: f.A, RecentSuccesses: f.W, Org: f.O, Service: f.S, Version: f.V})
-	}
-	return out, nil
-}
-
 func encodeRateLimits(limits []RateLimit) []rateLimitFrame {
 	var out []rateLimitFrame
 	for _, l := range limits {
@@ -212,7 +219,10 @@
 	}
 	v.CacheLocations = decodeCacheLocations(f.P)
 	var err error
-	if v.Crashes, err = decodeCrashes(f.D); err != nil {
+	if v.Crashes, err = decodeCrashes(f.D, f.Q); err != nil {
+		return View{}, err
+	}
+	if v.SoundRuns, err = decodeSoundRuns(f.S); err != nil {
 		return View{}, err
 	}
 	if v.RateLimits, err = decodeRateLimits(f.R); err != nil {
