--- a/poison/probe.go
+++ b/poison/probe.go
@@ -89,9 +89,9 @@
 // mayBeProbed reports whether the suspect may be probed again while it is known.
 func (s *suspect) mayBeProbed() bool { return s.part == "" || s.probes < maxPartProbes }
 
-// isUnresolved reports whether a quarantined part may be innocent: another suspect was in
-// all prompts under which targets crashed with the part, and is not in this request, which
-// therefore tells the two apart. t.mu is held.
+// isUnresolved reports whether a quarantined part may be innocent: another suspect had begun
+// at all targets that crashed under the part, and is not in this request, which therefore
+// tells the two apart. t.mu is held.
 func (t *Tracker) isUnresolved(s *suspect, r Request, now clock.Time) bool {
 	if s.part == "" {
 		return false
@@ -105,10 +105,10 @@
 	return false
 }
 
-// explains reports whether all calls under which targets crashed with s had o as well.
+// explains reports whether all targets that crashed under s had begun o as well.
 func (o *suspect) explains(s *suspect, now clock.Time) bool {
 	for _, c := range s.countedCrashes(now) {
-		if other := o.crashes[c.Boot]; other == nil || other.Call != c.Call {
+		if o.crashes[c.Boot] == nil {
 			return false
 		}
 	}
--- a/poison/request.go
+++ b/poison/request.go
@@ -3,10 +3,18 @@
 import (
 	"crypto/sha256"
 	"slices"
+	"strings"
 )
 
-// maxPartID bounds the id of a part in records and logs, in bytes.
-const maxPartID = 64
+const (
+	// maxPartID bounds the id of a part in records and logs, in bytes.
+	maxPartID = 64
+	// maxPairedParts is the number of parts of a prompt up to which their pairs are
+	// tracked.
+	maxPairedParts = 6
+	// pairSeparator separates the ids of a pair. Ids of parts have none.
+	pairSeparator = ","
+)
 
 type (
 	// Request is what may crash a target: the request as a whole, or a part of its prompt.
@@ -16,7 +24,8 @@
 		Org, Service string
 	}
 
-	// Part is a part of a prompt. Parts with the same id have the same content.
+	// Part is a part of a prompt, or a pair of them, which may crash targets only together.
+	// Parts with the same id have the same content.
 	Part struct {
 		Fingerprint Fingerprint
 		ID          string // cut to maxPartID bytes
@@ -39,14 +48,30 @@
 	return out
 }
 
-// Parts returns the parts with the given ids, each once and without empty ids.
+// Parts returns the parts with the given ids, each once and without empty ids, and the pairs
+// of up to maxPairedParts parts.
 func Parts(ids []string) []Part {
 	out := make([]Part, 0, len(ids))
 	for _, id := range ids {
-		part := Part{Fingerprint: sha256.Sum256([]byte(id)), ID: id[:min(len(id), maxPartID)]}
-		if id != "" && !slices.Contains(out, part) {
+		if part := newPart(id); id != "" && !slices.Contains(out, part) {
 			out = append(out, part)
 		}
 	}
+	if len(out) > maxPairedParts {
+		return out
+	}
+	single := out
+	for i, x := range single {
+		for _, y := range single[:i] {
+			out = append(out, newPart(min(x.ID, y.ID)+pairSeparator+max(x.ID, y.ID)))
+		}
+	}
 	return out
 }
+
+func newPart(id string) Part {
+	return Part{Fingerprint: sha256.Sum256([]byte(id)), ID: id[:min(len(id), maxPartID)]}
+}
+
+// isPair reports whether the id is that of a pair of parts.
+func isPair(id string) bool { return strings.Contains(id, pairSeparator) }
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -27,6 +27,13 @@
 	settleTime = 2 * time.Second
 )
 
+// explanation is a suspect as the cause of one crash.
+type explanation struct {
+	crashes     int // of the suspect, that count
+	soundBefore bool
+	pair        bool // the suspect is a pair of parts
+}
+
 // evaluate decides which suspects are quarantined. It starts with the suspects that have
 // the most crashes: a target's crash is not attributed to a suspect if a quarantined one
 // with more crashes ran there too. t.mu is held.
@@ -41,8 +48,8 @@
 			attributedBoots[c.Boot] = true
 		}
 	}
-	thresholds := map[string]int{}                  // by service
-	maxCrashesByBoot := map[ragworthitch.Boot]int{} // the most crashes of any quarantined suspect that ran there
+	thresholds := map[string]int{}                      // by service
+	explanations := map[ragworthitch.Boot]explanation{} // the best quarantined suspect that ran there
 	for _, s := range ranked {
 		threshold, ok := thresholds[s.service]
 		if !ok {
@@ -58,10 +65,13 @@
 		if s.quarantined {
 			threshold = min(threshold, s.threshold)
 		}
-		quarantine := !t.DryRun && s.attributed(maxCrashesByBoot) >= threshold && !t.mostlySucceeds(s, now)
+		quarantine := !t.DryRun && s.attributed(explanations) >= threshold && !t.mostlySucceeds(s, now)
 		if quarantine {
 			for _, c := range s.crashes {
-				maxCrashesByBoot[c.Boot] = max(maxCrashesByBoot[c.Boot], len(s.crashes))
+				e := s.explain(c)
+				if e.isBetterThan(explanations[c.Boot]) {
+					explanations[c.Boot] = e
+				}
 			}
 		}
 		t.setQuarantined(s.suspect, quarantine, now)
@@ -72,14 +82,15 @@
 }
 
 // rank returns the suspects with the crashes that count, those with the most crashes first
-// and, among equals, those that have not run well before; t.mu is held.
+// and, among equals, those that have not run well before and single parts before their
+// pairs; t.mu is held.
 func (t *Tracker) rank(now clock.Time) []countedSuspect {
 	ranked := make([]countedSuspect, 0, len(t.suspects))
 	for _, s := range t.suspects {
 		ranked = append(ranked, countedSuspect{s, s.countedCrashes(now)})
 	}
 	slices.SortFunc(ranked, func(x, y countedSuspect) int {
-		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(len(x.ranWell()), len(y.ranWell())), slices.Compare(x.print[:], y.print[:]))
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(len(x.ranWell()), len(y.ranWell())), cmp.Compare(len(x.part), len(y.part)), slices.Compare(x.print[:], y.print[:]))
 	})
 	return ranked
 }
@@ -89,19 +100,34 @@
 	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return !c.SoundBefore })
 }
 
-// attributed returns how many crashes no other suspect explains better. A part that has run
-// well before is no better an explanation than one with as many crashes that has not.
-func (s countedSuspect) attributed(maxCrashesByBoot map[ragworthitch.Boot]int) int {
+// attributed returns how many crashes no quarantined suspect explains better.
+func (s countedSuspect) attributed(explanations map[ragworthitch.Boot]explanation) int {
 	n := 0
 	for _, c := range s.crashes {
-		others := maxCrashesByBoot[c.Boot]
-		if others < len(s.crashes) || others == len(s.crashes) && !c.SoundBefore {
+		if !explanations[c.Boot].isBetterThan(s.explain(c)) {
 			n++
 		}
 	}
 	return n
 }
 
+// explain returns the suspect as the cause of one of its crashes.
+func (s countedSuspect) explain(c *crashRecord) explanation {
+	return explanation{crashes: len(s.crashes), soundBefore: c.SoundBefore, pair: isPair(s.part)}
+}
+
+// isBetterThan reports whether e explains a crash better than o: under more crashes or,
+// with equally many, without sound runs before or as one part rather than a pair.
+func (e explanation) isBetterThan(o explanation) bool {
+	switch {
+	case e.crashes != o.crashes:
+		return e.crashes > o.crashes
+	case e.soundBefore != o.soundBefore:
+		return o.soundBefore
+	}
+	return !e.pair && o.pair
+}
+
 // mostlySucceeds reports whether a request succeeds so often that it is at every target
 // that crashes. A part is told by its sound runs instead.
 func (t *Tracker) mostlySucceeds(s countedSuspect, now clock.Time) bool {
