--- a/exchange/spread_test.go
+++ b/exchange/spread_test.go
@@ -156,7 +156,9 @@
 		r.recordCall(undisturbed[rng.IntN(len(undisturbed))], print, rng.Float64() < callRate*time.Millisecond.Seconds(), time.Since(start))
 		unaware = append(unaware, undisturbed[seen:]...)
 		seen = len(undisturbed)
-		unaware = slices.DeleteFunc(unaware, func(n *instance) bool { return n.poisonTracker.Status(poison.Request{Fingerprint: print}, clock.Now()).Quarantined })
+		unaware = slices.DeleteFunc(unaware, func(n *instance) bool {
+			return n.poisonTracker.Status(poison.Request{Fingerprint: print}, clock.Now()).Quarantined
+		})
 		unawareCount := len(unaware)
 		f.mu.Unlock()
 		if unawareCount == 0 && r.spreadTime == observedTime && (c.Started == 0 || time.Since(start) > time.Second) {
--- a/poison/windows.go
+++ b/poison/windows.go
@@ -14,8 +14,8 @@
 	window = time.Minute
 	// maxPerShard bounds the keys of each window and shard: 16 times an expected load of 26
 	// calls a second for each instance.
-	maxPerShard   = 1600
-	successShards = 16
+	maxPerShard  = 1600
+	windowShards = 16
 )
 
 var shardSeed = maphash.MakeSeed()
@@ -24,7 +24,7 @@
 	// windows holds recent values by key, in a bounded number. The zero value is ready to
 	// use.
 	windows[K comparable, V any] struct {
-		shards [successShards]windowShard[K, V]
+		shards [windowShards]windowShard[K, V]
 	}
 
 	windowShard[K comparable, V any] struct {
@@ -36,7 +36,7 @@
 )
 
 func (w *windows[K, V]) shard(k K) *windowShard[K, V] {
-	return &w.shards[maphash.Comparable(shardSeed, k)%successShards]
+	return &w.shards[maphash.Comparable(shardSeed, k)%windowShards]
 }
 
 // update replaces the value of a key in the current window, unless the key is new there and
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -100,7 +100,9 @@
 		{Node: "a", RateLimits: []RateLimit{{Target: ragworthitch.NewBoot("i-1", 1767312000123), InForce: true, Rate: 4.4, Age: 70 * time.Millisecond}, {Target: ragworthitch.NewBoot("i-2", 0)}}},
 		{Node: "a", Loads: []TargetLoad{{Target: ragworthitch.NewBoot("i-1", 1767312000123), Prefill: 8200, YieldingPrefill: 300, Running: 3, Tokens: 27000, EventInterval: 29040 * time.Microsecond}, {Target: ragworthitch.NewBoot("i-2", 0)}},
 			CacheLocations: []CacheLocation{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
-			Crashes:        []poison.Crash{{Fingerprint: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", InOutage: true, RecentSuccesses: 3, Org: "o", Service: "llm", Version: "v1"}}},
+			Crashes: []poison.Crash{{Fingerprint: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", InOutage: true, RecentSuccesses: 3, Org: "o", Service: "llm", Version: "v1"},
+				{Fingerprint: poison.Parts([]string{"5c1e"})[0].Fingerprint, Part: "5c1e", Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Org: "o", Service: "llm", Version: "v1", SoundBefore: true, Age: 70 * time.Millisecond}},
+			SoundRuns: []poison.SoundRun{{Part: poison.Parts([]string{"5c1e"})[0].Fingerprint, Service: "llm", Version: "v1", Age: 2 * time.Second}}},
 	} {
 		b, err := EncodeView(v)
 		require.NoError(t, err)
@@ -114,6 +116,16 @@
 		_, err = DecodeView(b)
 		require.ErrorIs(t, err, ErrBadFrame, "%+v", r)
 	}
+	print := make([]byte, len(poison.Fingerprint{}))
+	for _, f := range []viewFrame{
+		{Q: []partCrashFrame{{C: crashFrame{F: print}}}}, {Q: []partCrashFrame{{C: crashFrame{F: print}, P: "a", G: -1}}}, {Q: []partCrashFrame{{C: crashFrame{F: print[1:]}, P: "a"}}},
+		{S: []soundRunFrame{{F: print[1:]}}}, {S: []soundRunFrame{{F: print, G: -1}}}, {S: []soundRunFrame{{F: print, G: math.MaxInt64}}},
+	} {
+		b, err := cbor.Marshal(f)
+		require.NoError(t, err)
+		_, err = DecodeView(b)
+		require.ErrorIs(t, err, ErrBadFrame, "%+v", f)
+	}
 	short, err := cbor.Marshal(viewFrame{N: "a", D: []crashFrame{{F: []byte{1}, T: "i-1"}}})
 	require.NoError(t, err)
 	for _, b := range [][]byte{{0xff, 0x00}, short} {
