ingress: answers without a length that end when their target exits have broken off

What callers would see: a stream without a length or chunks whose engine exits between two events was passed on as complete, 4 of 20 events; a plain answer likewise, with half of its body.

Cause: the end of the connection was taken for the end of the answer if no event was cut. An exit closes connections without an error, so that nothing in the bytes tells the two apart. Class: the absence of an error taken for success.

Evidence: scripts in platform/testdata/undelimited (three whole targets' protocols: ended, reset, silent, cut inside an event, exited; HTTP/1.0 and 1.1): cut.txtar and plain_cut.txtar fail on the code before (200 with 4 of 20 events; 200 with half of the answer).

Change: after such an end the target's connection is checked. If the target is gone, a stream goes on at another target, a safe call is retried, and an unsafe one gets 502. Targets that were about to leave are believed for plain answers. A stream of events without ids that ends with its connection is no longer failed for want of a length.

After: all three scripts pass; tests of ingress and emulator pass."

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -339,7 +339,7 @@
 		return a.finishWithoutStream(head, result.event.Raw)
 	}
 	s.mayHaveRun = true
-	if !head.Delimited && s.lastID == 0 {
+	if !head.Delimited && a.brokeOff(ctx) {
 		return upstream.ErrSent
 	}
 	if !s.headSent {
@@ -353,6 +353,20 @@
 	return nil
 }
 
+// brokeOff reports whether a stream that ended with its connection, between two events,
+// broke off: it had no event at all, or its target is gone.
+func (a *attempt) brokeOff(ctx context.Context) bool {
+	if a.events == 0 && a.s.lastID == 0 {
+		return true
+	}
+	err := a.s.h.sender.CheckConnection(ctx, a.member)
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	a.s.eject(a.member, health.CauseRefused, err)
+	return true
+}
+
 // finishWithoutStream handles an answer that is not a stream. A failure may be retried at
 // another target; any other answer is forwarded.
 func (a *attempt) finishWithoutStream(head *Reply, body []byte) error {
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -38,7 +38,10 @@
 	hungAfter = 400 * time.Millisecond
 )
 
-var errAnswerTooLarge = errors.New("ingress: answer is larger than 64 KiB")
+var (
+	errAnswerTooLarge  = errors.New("ingress: answer is larger than 64 KiB")
+	errEndedWithTarget = errors.New("ingress: answer without a length ended, and its target is gone")
+)
 
 // attemptResult is the result of one attempt of a plain call.
 type attemptResult struct {
@@ -231,10 +234,22 @@
 	if result.err == nil {
 		result.body, result.rest, result.err = readStart(result.reply.Body)
 	}
+	if result.err == nil && result.rest == nil && c.brokeOff(ctx, result) {
+		result.err = fmt.Errorf("%w: %w", upstream.ErrSent, errEndedWithTarget)
+	}
 	c.recordHealth(parent, result, startedAt)
 	return result
 }
 
+// brokeOff reports whether an answer that ended with its connection broke off: its target is
+// gone, and was not about to leave.
+func (c *activeCall) brokeOff(ctx context.Context, result attemptResult) bool {
+	if result.reply.Delimited || c.shutdownExpected(result.member) {
+		return false
+	}
+	return c.h.sender.CheckConnection(ctx, result.member) != nil && ctx.Err() == nil
+}
+
 // recordHealth records what the result of an attempt says about its target's health.
 func (c *activeCall) recordHealth(ctx context.Context, result attemptResult, startedAt clock.Time) {
 	now := clock.Now()
@@ -305,6 +320,9 @@
 // passed on to its end is cut off, so that it does not look complete.
 func (c *activeCall) passOn(result *attemptResult) {
 	_, err := io.CopyBuffer(c.w, struct{ io.Reader }{result.rest}, result.body)
+	if err == nil && c.brokeOff(context.Background(), *result) {
+		err = errEndedWithTarget
+	}
 	switch {
 	case err == nil:
 		return
