admit, instance: new connections are refused unread while there is too little processor time

Found: nothing in the product limits how much an instance reads. Its parts (permits, retries) are borrowed from others; its processor is the limit.

Open connections are kept and served. What is refused is counted, and logged when it begins and ends.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -106,6 +106,7 @@
 	rollouts       rollout.Tracker
 	startedAt      clock.Time
 	bodyMemory     *admit.Memory // limit on the bodies of calls in progress
+	gate           admit.Gate    // refuses callers' connections while there is too little processor time
 	targetsRead    atomic.Bool   // the table of targets has been read
 	instancesRead  atomic.Bool   // the table of instances, with crash records, has been read
 	started        chan struct{} // closed when the desired state and all tables have been read
@@ -122,6 +123,10 @@
 		desiredState: desired.NewTracker(desired.Ages{Reject: scale(rejectAgeFraction, bounds.Config), Key: scale(keyAgeFraction, bounds.Revoke)})}
 	i.store.CountCalls(scope)
 	i.bodyMemory = admit.NewMemory(int64(bodyFraction * float64(settings.Memory())))
+	i.gate.Log = log
+	if scope != nil {
+		i.gate.OnRefuse = func() { scope.Counter("connections_refused").Inc(1) }
+	}
 	i.poisonTracker.Log, i.poisonTracker.Scope = log, scope
 	i.rollouts.Log, i.rollouts.Share = log, bounds.CanaryShare
 	i.rollouts.Slack, i.rollouts.Instances = bounds.CanarySlack, i.instanceCount
@@ -173,7 +178,8 @@
 	p.Go(i.persistLocations)
 	p.Go(i.persistCrashes)
 	p.Go(i.runRollouts)
-	i.callServer = i.serve(p, callListener, &platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.bodyMemory, Log: i.log})
+	p.Go(i.runGate)
+	i.callServer = i.serve(p, i.gate.Listen(callListener), &platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.bodyMemory, Log: i.log})
 	i.serve(p, readinessListener, platform.Ready(i.Ready))
 	i.serveInternal(p)
 	p.Go(func(lifetime context.Context) error {
@@ -193,6 +199,17 @@
 	return nil
 }
 
+// runGate measures the processor time that is left, from the start on: what an instance has
+// to read at first takes much of it, and its callers are better off waiting for that.
+func (i *Instance) runGate(ctx context.Context) error {
+	select {
+	case <-i.started:
+		return i.gate.Run(ctx)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
 // signalStart closes i.started when this instance knows what it needs to serve calls.
 func (i *Instance) signalStart(ctx context.Context) error {
 	for clock.Sleep(ctx, startCheckInterval) {
