soak, ingress: plans with poison parts, answers without a length, connections that gather

A stream that went on at another target, which ended without a length and without an event, was passed on as complete.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -354,10 +354,15 @@
 }
 
 // brokeOff reports whether a stream that ended with its connection, between two events,
-// broke off: it had no event at all, or its target is gone.
+// broke off: it had no event at all, or its target is gone. That an interrupted stream has no
+// further event takes two targets' word.
 func (a *attempt) brokeOff(ctx context.Context) bool {
-	if a.events == 0 && a.s.lastID == 0 {
-		return true
+	if a.events == 0 {
+		doubtful := a.s.lastID == 0 || a.s.failedAttempts > 0 && !a.s.endedEmpty
+		a.s.endedEmpty = true
+		if doubtful {
+			return true
+		}
 	}
 	err := a.s.h.sender.CheckConnection(ctx, a.member)
 	if err == nil || ctx.Err() != nil {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -47,6 +47,7 @@
 	interruptedAt  clock.Time       // when the previous attempt ended; 0: no interruption
 	lostAttempts   []lostAttempt    // failed attempts, except those that a target rejected
 	failedAttempts int              // attempts that ended early
+	endedEmpty     bool             // an attempt without a length ended without an event
 	totalEvents    int              // events of all attempts and those before the resume offset
 }
 
--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -27,7 +27,12 @@
     "the key is passed on": ("UNASKED", "platform/headers.go", "var systemHeaders = []string{headerKey, ", "var systemHeaders = []string{"),
     "no end in time": ("FINAL", "ingress/handler.go", "	ctx, cancel := context.WithTimeout(ctx, limit)", "	ctx, cancel := context.WithTimeout(ctx, limit+time.Minute)"),
     "the verdict is forgotten at a restart": ("DEADLY", "instance/crashes.go", "	err := platform.CrashWriter{Store: i.store}.Apply(writeCtx, edits[:n])", "	err := writeCtx.Err()"),
-    "a bystander is condemned": ("BYSTANDER", "poison/tracker.go", "		quarantine := !t.DryRun && attributed >= threshold && t.recentSuccesses(s.suspect, now) <= maxSuccessesPerCrash*len(s.crashes)", "		quarantine := attributed > 0"),
+    "a bystander is condemned": ("BYSTANDER", "poison/verdict.go", "		quarantine := !t.DryRun && s.attributed(explanations) >= threshold && !t.mostlySucceeds(s, now)", "		quarantine := s.attributed(explanations) > 0"),
+    "crashes count for each request only": ("DEADLY", "poison/tracker.go", "	for _, p := range r.Parts {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID", "	for _, p := range r.Parts[:0] {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID"),
+    "a sound part is stopped": ("BACK", "poison/sound.go", "		if s := t.suspects[run.Part]; s != nil && t.clearCrashes(s, run, source, now) {", "		if s := t.suspects[run.Part]; s == nil && t.clearCrashes(s, run, source, now) {",
+        "poison/tracker.go", "		c.SoundBefore = c.SoundBefore || soundAt != 0", "		c.SoundBefore = false", "poison/tracker.go", "		if soundAt > at {", "		if false && soundAt > at {"),
+    "every instance probes a part, again and again": ("DEADLY", "poison/probe.go", "	firstPartProbeDelay  = 5 * time.Minute", "	firstPartProbeDelay  = time.Millisecond", "poison/probe.go", "	maxPartProbes        = 2", "	maxPartProbes        = 1 << 20",
+        "poison/probe.go", "	for range s.probes {", "	for range 0 {", "instance/crashes.go", "	row, err := platform.CrashWriter{Store: i.store}.ClaimProbes(ctx, probes)", "	row, err := int64(0), ctx.Err()"),
     "streams go round rate limits": ("LIMIT", "ingress/rate_limit.go", "	if !m.RateLimit().Active() ||", "	if c.grant.Route.Kind() == ragworthitch.CallStream ||\n		!m.RateLimit().Active() ||",
         "ingress/rate_limit.go", "	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)", "	permit, ok := c.h.rateLimits.Take(m.RateLimit(), m.Target().ID(), c.isUrgent(now), now)\n	if !ok && c.grant.Route.Kind() == ragworthitch.CallStream {\n		permit, ok = (&ratelimit.Group{}).Take(&ratelimit.Limit{}, \"\", true, now)\n	}"),
     "each instance takes the whole rate limit": ("LIMIT", "ratelimit/group.go", "	if g.List == nil {\n		return 1, false", "	if g != nil {\n		return 1, false"),
@@ -38,6 +43,9 @@
 # Bugs that are detected with a plan file instead of seeds.
 PLANS = {
     "the verdict is forgotten at a restart": "testdata/soak/all-killed-after-verdict.yaml",
+    "crashes count for each request only": "testdata/soak/poison-part.yaml",
+    "a sound part is stopped": "testdata/soak/poison-part.yaml",
+    "every instance probes a part, again and again": "testdata/soak/poison-part.yaml",
     "streams go round rate limits": "testdata/soak/rate-limits.yaml",
     "each instance takes the whole rate limit": "testdata/soak/rate-limits.yaml",
 }
--- a/soak/balancer.go
+++ b/soak/balancer.go
@@ -24,12 +24,16 @@
 	addrs []string
 	http  http.Client
 
-	mu       sync.Mutex
-	failures []int
+	mu        sync.Mutex
+	failures  []int
+	gathering int // the instance that gets most new connections, or noGathering
 }
 
+// noGathering means that all ready instances get the same share.
+const noGathering = -1
+
 func newBalancer(addrs []string) *balancer {
-	return &balancer{addrs: addrs, failures: make([]int, len(addrs)), http: http.Client{Timeout: readyCheckInterval}}
+	return &balancer{addrs: addrs, gathering: noGathering, failures: make([]int, len(addrs)), http: http.Client{Timeout: readyCheckInterval}}
 }
 
 // run checks the instances until ctx ends.
@@ -61,10 +65,20 @@
 	}
 }
 
+// setGathering makes most new connections go to an instance while it is ready.
+func (b *balancer) setGathering(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gathering = n
+}
+
 // pick selects a ready instance at random, or any instance if none is ready.
 func (b *balancer) pick(rng *rand.Rand) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.gathering != noGathering && b.failures[b.gathering] < readyFailureThreshold && rng.Float64() < gatherShare {
+		return b.gathering
+	}
 	var ready []int
 	for n, failures := range b.failures {
 		if failures < readyFailureThreshold {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -132,7 +132,10 @@
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { call.Connected = true }})
 	body := "{}"
-	if call.Poison {
+	switch {
+	case call.PoisonPart:
+		body = call.ID
+	case call.Poison:
 		body = poisonBody
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.exec.callerAddrOf(c.entryIndex)+call.Path, strings.NewReader(body))
@@ -143,6 +146,9 @@
 	headers := platform.CallHeaders{ID: call.ID, Key: call.Key, RemainingTime: call.Timeout, ResumeOffset: call.ResumeOffset}
 	if call.Kind == CallStream {
 		headers.Stream = &platform.CallerStream{Model: model, Subject: call.Subject, Prompt: promptTokens, MaxTokens: call.TotalEvents}
+		if call.PoisonPart {
+			headers.Stream.SharedPart = poisonPart
+		}
 	}
 	headers.Set(req.Header)
 	call.SentAt = time.Now().UnixNano()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -38,9 +38,12 @@
 	switch f.Kind {
 	case KindChange:
 		return x.operator.writeNextVersion(ctx)
-	case KindPoison:
+	case KindPoison, KindPoisonPart:
 		x.sendPoison(ctx, f)
 		return nil
+	case KindGather:
+		x.gather(ctx, f)
+		return nil
 	case KindStoreDown, KindStoreSlow, KindStoreLoseAcks:
 		return x.injectStoreFault(ctx, f)
 	}
@@ -157,6 +160,8 @@
 		return x.loseAnswers(ctx, t, f)
 	case KindRateLimit:
 		return x.limitRate(ctx, t, f)
+	case KindUndelimited:
+		return x.endWithConnections(ctx, t, f)
 	}
 	t.faultMu.Lock()
 	defer t.faultMu.Unlock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,6 +39,16 @@
 	// services, as From says.
 	KindPoison = "deadly"
 
+	// KindPoisonPart sends different requests to engines whose prompts have one part in
+	// common, which crashes them.
+	KindPoisonPart = "deadlyPart"
+
+	// KindUndelimited makes a target send answers without a length, which end with their
+	// connections.
+	KindUndelimited = "undelimited"
+	// KindGather makes most new connections of callers go to one instance.
+	KindGather = "gather"
+
 	// KindRateLimit makes a target name a rate limit of Rate requests a second.
 	KindRateLimit = "limit"
 
@@ -120,6 +130,9 @@
 	"limit": {Entries: 12, Engines: 100, Services: 12, Callers: 160},
 }
 
+// alwaysDrawn are the kinds that every plan has.
+var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather}
+
 var kindChoices = []kindChoice{
 	{KindDelay, 3, (*planDrawer).drawLink}, {KindReset, 4, (*planDrawer).drawLink}, {KindBlockRequests, 3, (*planDrawer).drawLink},
 	{KindBlockResponses, 3, (*planDrawer).drawLink}, {KindBlockBoth, 3, (*planDrawer).drawLink},
@@ -154,6 +167,9 @@
 	}
 	p.Faults = append(p.Faults, d.drawPoison(end)...)
 	p.Faults = append(p.Faults, d.drawRateLimits(end)...)
+	p.Faults = append(p.Faults, d.drawPoisonPart(end))
+	p.Faults = append(p.Faults, d.drawUndelimited(end)...)
+	p.Faults = append(p.Faults, d.drawGather(end)...)
 	p.sort()
 	return p, nil
 }
@@ -337,7 +353,7 @@
 		return Plan{}, fmt.Errorf("%w: %s: size %q, %d seconds", ErrInvalidPlan, file, p.Size, p.Seconds)
 	}
 	for _, f := range p.Faults {
-		if f.Kind != KindChange && f.Kind != KindPoison && f.Kind != KindRateLimit && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
+		if !slices.Contains(alwaysDrawn, f.Kind) && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
 			return Plan{}, fmt.Errorf("%w: %s: unknown kind %q", ErrInvalidPlan, file, f.Kind)
 		}
 	}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -50,7 +50,9 @@
 	for _, c := range kindChoices {
 		assert.True(t, drawn[c.kind], c.kind)
 	}
-	assert.True(t, drawn[KindChange])
+	for _, kind := range alwaysDrawn {
+		assert.True(t, drawn[kind], kind)
+	}
 }
 
 func TestInvalidPlans(t *testing.T) {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/process"
 )
 
 const (
 	// poisonBody is the body of poison requests.
 	poisonBody = "deadly"
+	// poisonPart is the part of prompts that crashes engines.
+	poisonPart = "dead0"
 	// crashExitCode is the exit code of a target that a poison request crashed.
 	crashExitCode = 70
 	// restartDelay is how long a crashed target's node stays empty.
@@ -27,9 +30,11 @@
 	// A request is quarantined after crashesToQuarantine crashes. All instances have to
 	// reject the request quarantineDelay later; maxLatePoisonAttempts allows for attempts
 	// in progress.
-	crashesToQuarantine   = 3
-	maxLatePoisonAttempts = 3
-	quarantineDelay       = 3 * time.Second
+	crashesToQuarantine = 3
+	// partCrashesToQuarantine is the same for a part of prompts.
+	partCrashesToQuarantine = 5
+	maxLatePoisonAttempts   = 3
+	quarantineDelay         = 3 * time.Second
 )
 
 // drawPoison draws a poison request and, in every other plan, a kill of all instances
@@ -52,7 +57,16 @@
 	return out
 }
 
-// sendPoison sends a poison request to random instances for the duration of the fault.
+// drawPoisonPart draws a time in which requests with a poison part are sent.
+func (d *planDrawer) drawPoisonPart(end time.Duration) Fault {
+	begin := startMargin + d.drawDuration((end-startMargin)/4)
+	return Fault{Kind: KindPoisonPart, AtMs: int(begin.Milliseconds()), ForMs: int(min(end-begin, maxPoisonDuration).Milliseconds()), From: nodeEngine}
+}
+
+// hasPoisonPart reports whether the prompt of a call has the poison part.
+func hasPoisonPart(c platform.ReceivedCall) bool { return slices.Contains(c.SharedParts, poisonPart) }
+
+// sendPoison sends poison requests to random instances for the duration of the fault.
 func (x *execution) sendPoison(ctx context.Context, f Fault) {
 	ctx, cancel := context.WithTimeout(ctx, f.Duration())
 	defer cancel()
@@ -63,18 +77,18 @@
 	c := newCaller(x, x.size.Callers+f.AtMs)
 	defer c.disconnect()
 	for clock.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPoisonInterval))) {
-		go c.sendPoisonOnce(kind, c.rng.Uint64())
+		go c.sendPoisonOnce(kind, f.Kind == KindPoisonPart, c.rng.Uint64())
 	}
 }
 
 // sendPoisonOnce sends a poison request over a connection of its own.
-func (c *caller) sendPoisonOnce(kind string, seed uint64) {
+func (c *caller) sendPoisonOnce(kind string, byPart bool, seed uint64) {
 	oneShot := newCaller(c.exec, c.index)
 	oneShot.rng = rand.New(rand.NewPCG(seed, 0))
 	defer oneShot.disconnect()
 	oneShot.entryIndex = oneShot.exec.balancer.pick(oneShot.rng)
 	call := oneShot.newCall(kind, 0, fmt.Sprintf("%x", seed))
-	call.Poison = true
+	call.Poison, call.PoisonPart = true, byPart
 	oneShot.make(&call)
 }
 
@@ -120,20 +134,26 @@
 	return unexpected && errors.As(err, &exit) && exit.ExitCode() == crashExitCode
 }
 
-// checkPoison checks how often a request was sent after the crash that quarantines it. It
-// counts attempts by instances that had to know of the quarantine: those that reached the
-// store for quarantineDelay, and those that restarted after the quarantine.
+// checkPoison checks how often the poison request, and requests with the poison part, were
+// sent after the crash that quarantines them.
 func (c *checker) checkPoison() {
-	crashes := c.crashTimes()
-	if len(crashes) < crashesToQuarantine {
+	c.checkLatePoison("a request", crashesToQuarantine, false)
+	c.checkLatePoison("requests with a part", partCrashesToQuarantine, true)
+}
+
+// checkLatePoison counts attempts by instances that had to know of the quarantine: those that
+// reached the store for quarantineDelay, and those that restarted after the quarantine.
+func (c *checker) checkLatePoison(what string, allowedCrashes int, byPart bool) {
+	crashes := c.crashTimes(byPart)
+	if len(crashes) < allowedCrashes {
 		return
 	}
-	quarantinedAt := crashes[crashesToQuarantine-1]
+	quarantinedAt := crashes[allowedCrashes-1]
 	knownAt := quarantinedAt + int64(quarantineDelay)
 	lateAttempts := 0
 	for id, attempts := range c.attempts {
 		call := c.calls[id]
-		if call == nil || !call.Poison {
+		if call == nil || !call.Poison || call.PoisonPart != byPart {
 			continue
 		}
 		for _, r := range attempts {
@@ -143,15 +163,16 @@
 		}
 	}
 	if lateAttempts > maxLatePoisonAttempts {
-		c.addViolation(RulePoison, knownAt, "a request that had crashed %d targets reached targets %d more times later than %v after the last of these crashes; %d crashes in total", crashesToQuarantine, lateAttempts, quarantineDelay, len(crashes))
+		c.addViolation(RulePoison, knownAt, "%s that had crashed %d targets reached targets %d more times later than %v after the last of these crashes; %d crashes in total", what, allowedCrashes, lateAttempts, quarantineDelay, len(crashes))
 	}
 }
 
-// crashTimes returns when poison requests crashed targets, in order.
-func (c *checker) crashTimes() []int64 {
+// crashTimes returns when the poison request, or requests with the poison part, crashed
+// targets, in order.
+func (c *checker) crashTimes(byPart bool) []int64 {
 	var out []int64
 	for _, r := range c.history.Records {
-		if r.Kind == RecordCrashed {
+		if r.Kind == RecordCrashed && r.PoisonPart == byPart {
 			out = append(out, r.At)
 		}
 	}
--- a/soak/records.go
+++ b/soak/records.go
@@ -46,7 +46,8 @@
 		EndedAt      int64         `json:"ended"`
 		Timeout      time.Duration `json:"limit"` // until the deadline
 		TimedOut     bool          `json:"gaveUp"`
-		Poison       bool          `json:"deadly"` // a poison request
+		Poison       bool          `json:"deadly"`     // a poison request
+		PoisonPart   bool          `json:"deadlyPart"` // a poison request because of a part of its prompt
 
 		Connected    bool     `json:"connected"`
 		Status       int      `json:"status"` // 0: no answer
@@ -73,6 +74,8 @@
 		ResumeOffset int    `json:"after"`
 		At           int64  `json:"at"`
 
+		PoisonPart bool `json:"deadlyPart,omitempty"` // of RecordCrashed: a part of the prompt caused it
+
 		Rate  float64 `json:"rate,omitempty"`  // of RecordLimited, requests a second
 		Until int64   `json:"until,omitempty"` // when the target stops to name the limit, unless it ends before
 	}
--- a/soak/target.go
+++ b/soak/target.go
@@ -74,7 +74,7 @@
 		bootTimeMs: time.Now().Add(time.Duration(cfg.StepMs) * time.Millisecond).UnixMilli()}
 	t.standIn = platform.TargetStandIn{ID: cfg.ID, Events: streamEvents, EventInterval: eventInterval, FirstEventDelay: firstEventTime, Listen: cfg.Listen,
 		Peers: &platform.Peers{SendReplica: t.sendReplica}, Work: answerGenerator(cfg.ID), OnRun: t.recordAttempt, Mux: t.extraHandler(),
-		CrashTrigger: platform.CrashTrigger{Matches: func(c platform.ReceivedCall) bool { return string(c.Body) == poisonBody }, OnCrash: t.crash}}
+		CrashTrigger: platform.CrashTrigger{Matches: func(c platform.ReceivedCall) bool { return string(c.Body) == poisonBody || hasPoisonPart(c) }, OnCrash: t.crash}}
 	if cfg.Service != serviceLLM {
 		t.standIn.FirstEventDelay = plainAnswerTime
 	}
@@ -115,8 +115,8 @@
 }
 
 // crash exits the process, for a poison request.
-func (t *Target) crash() {
-	t.writeRecord(Record{Kind: RecordCrashed})
+func (t *Target) crash(c platform.ReceivedCall) {
+	t.writeRecord(Record{Kind: RecordCrashed, PoisonPart: hasPoisonPart(c)})
 	os.Exit(crashExitCode)
 }
 
@@ -152,6 +152,7 @@
 		time.AfterFunc(time.Duration(mustAtoi(r.FormValue("ms")))*time.Millisecond, func() { t.standIn.SetFault("") })
 	})
 	mux.HandleFunc(pathRateLimit, t.nameRateLimit)
+	mux.HandleFunc(pathUndelimited, t.answerWithoutLength)
 	return mux
 }
 
