ratelimit: a list of instances that still grows after the start is not taken for the whole

What callers would see: nothing; targets that name a limit get several times as much while many instances start at once.

Class: a part taken for the whole.

Change: in its first 8 s an instance has no part of a limit until its list has not grown for 1 s. A lone instance loses 1 s after its start.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -136,7 +136,7 @@
 	i.relay = &relay.Server{Tables: i.caches(), Draining: i.isDraining, SaveLocations: i.locations.addFromPeer, Log: log}
 	i.budget = budget.New(budget.Limit{Ratio: bounds.BudgetRatio, Extra: bounds.BudgetExtra, Window: bounds.BudgetWindow}, i.peers.InstanceCount)
 	borrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.budget, Path: wire.LoanPath, Name: "retries", Log: log}
-	i.permits = ratelimit.Pool{Group: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members}, Find: i.findLimit}
+	i.permits = ratelimit.Pool{Group: &ratelimit.Group{Self: settings.Node(), List: i.peers.Members, Started: i.startedAt}, Find: i.findLimit}
 	permitBorrower := &lend.Borrower{Zone: settings.Zone(), Peers: i.peers.Peers, Pool: i.permits, Path: wire.PermitLoanPath, Name: "permits", Log: log}
 	borrowPermits := func(ctx context.Context, m *registry.Member) {
 		permitBorrower.Borrow(ctx, permitKey(m.Target().Boot()))
--- a/ratelimit/group.go
+++ b/ratelimit/group.go
@@ -23,6 +23,11 @@
 	// minRingAge is the least time between two rings, as the list of instances changes
 	// often while many start.
 	minRingAge = 500 * time.Millisecond
+	// The list that an instance has in the first startTime after its start counts as whole
+	// once it has not grown for settleTime: when all start at once, each hears of the others
+	// one by one, and the one that knows least would send most.
+	startTime  = 8 * time.Second
+	settleTime = time.Second
 )
 
 type (
@@ -44,12 +49,18 @@
 		Self string
 		// List returns the list of instances; nil: there are no others.
 		List func() Members
+		// Started is when this instance started; 0: at the first use.
+		Started clock.Time
 
 		mu      sync.Mutex
 		ring    ring
 		version uint64     // of the members in ring
 		builtAt clock.Time // when ring was built; 0: never
 
+		listMu     sync.Mutex
+		listSize   int // at the last use
+		listGrewAt clock.Time
+
 		startOnce   sync.Once
 		startedAt   clock.Time
 		startedWall time.Time
@@ -190,12 +201,30 @@
 		return 1, false
 	}
 	m := g.List()
-	if !m.Known {
+	if !m.Known || g.isGrowing(len(m.Others), now) {
 		return 0, false
 	}
 	return len(m.Others) + 1, now.Sub(m.AsOf) > staleAfter
 }
 
+// isGrowing reports whether this instance has started lately and its list, now of the given
+// size, may lack others that have as well.
+func (g *Group) isGrowing(size int, now clock.Time) bool {
+	g.listMu.Lock()
+	defer g.listMu.Unlock()
+	if g.Started == 0 {
+		g.Started = now
+	}
+	if g.listGrewAt == 0 {
+		g.listGrewAt = g.Started
+	}
+	if size > g.listSize {
+		g.listGrewAt = now
+	}
+	g.listSize = size
+	return now.Sub(g.Started) < startTime && now.Sub(g.listGrewAt) < settleTime
+}
+
 // owns returns the function that tells which permits of a target are this instance's; l.mu
 // is held.
 func (g *Group) owns(l *Limit, target string, now clock.Time) func(permit int64) bool {
--- a/ratelimit/group_test.go
+++ b/ratelimit/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 		DoubleAt     float64 `yaml:"doubleAt"`     // as many instances again start
 		HalfLostAt   float64 `yaml:"halfLostAt"`
 		RestartAt    float64 `yaml:"restartAt"`
+		GrowAt       float64 `yaml:"growAt"` // all start again and learn of each other one by one
 		HeardAfter   float64 `yaml:"heardAfter"` // when an instance's list follows a change
 		StaleFrom    float64 `yaml:"staleFrom"`
 		LimitVaries  float64 `yaml:"limitVaries"` // by this share of the limit
@@ -203,6 +205,8 @@
 				in.lost = true
 			}
 		}}}
+	case c.GrowAt > 0:
+		return m.growth(seconds(c.GrowAt), heard)
 	case c.RestartAt > 0:
 		out := []modelChange{{seconds(c.RestartAt), func(t time.Duration) {
 			for i := range m.n {
@@ -219,6 +223,38 @@
 	return nil
 }
 
+// growth restarts all instances with lists that have been read and are still empty. Each
+// learns of each other within the given time.
+func (m *model) growth(from, heard time.Duration) []modelChange {
+	out := []modelChange{{from, func(t time.Duration) {
+		for i := range m.n {
+			m.start(i, t, nil)
+		}
+	}}}
+	heardAt := make([][]time.Duration, m.n)
+	for i := range heardAt {
+		for range m.n {
+			heardAt[i] = append(heardAt[i], time.Duration(m.rng.Float64()*float64(heard)))
+		}
+	}
+	for after := modelStep; after <= heard+modelStep; after += modelStep {
+		out = append(out, modelChange{from + after, func(t time.Duration) {
+			for i, in := range m.instances {
+				var known []string
+				for j, name := range m.names {
+					if j == i || heardAt[i][j] <= after {
+						known = append(known, name)
+					}
+				}
+				if len(known)-1 > len(in.members.Others) {
+					in.members = Members{Others: slices.DeleteFunc(known, func(name string) bool { return name == in.group.Self }), Version: in.members.Version + 1, AsOf: at(t), Known: true}
+				}
+			}
+		}})
+	}
+	return out
+}
+
 // Guards against instances that together send a target more than its limit allows, however
 // many there are and whatever they know of each other.
 func TestInstancesShareLimit(t *testing.T) {
