--- a/poison/parts_test.go
+++ b/poison/parts_test.go
@@ -78,7 +78,6 @@
 		request  Request
 		names    []string
 		instance *partInstance
-		isDeadly bool
 		isProbe  bool
 		period   int // index into begun and sent; -1: not counted
 		attempts int
--- a/ratelimit/group_test.go
+++ b/ratelimit/group_test.go
@@ -37,7 +37,7 @@
 		DoubleAt     float64 `yaml:"doubleAt"`     // as many instances again start
 		HalfLostAt   float64 `yaml:"halfLostAt"`
 		RestartAt    float64 `yaml:"restartAt"`
-		GrowAt       float64 `yaml:"growAt"` // all start again and learn of each other one by one
+		GrowAt       float64 `yaml:"growAt"`     // all start again and learn of each other one by one
 		HeardAfter   float64 `yaml:"heardAfter"` // when an instance's list follows a change
 		StaleFrom    float64 `yaml:"staleFrom"`
 		LimitVaries  float64 `yaml:"limitVaries"` // by this share of the limit
