poison, ingress: cleared crashes stay cleared; sound requests are told to peers; who ended an answer

An attempt that succeeds at one instance now releases the request at all of them by the same reports as parts (before: by the store only). Instances that quarantine it at the same moment still wait for the probe: open.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -339,7 +339,7 @@
 		return a.finishWithoutStream(head, result.event.Raw)
 	}
 	s.mayHaveRun = true
-	if !head.Delimited && a.brokeOff(ctx) {
+	if !head.Delimited && a.brokeOff(ctx, head) {
 		return upstream.ErrSent
 	}
 	if !s.headSent {
@@ -356,7 +356,7 @@
 // brokeOff reports whether a stream that ended with its connection, between two events,
 // broke off: it had no event at all, or its target is gone. That an interrupted stream has no
 // further event takes two targets' word.
-func (a *attempt) brokeOff(ctx context.Context) bool {
+func (a *attempt) brokeOff(ctx context.Context, head *Reply) bool {
 	if a.events == 0 {
 		doubtful := a.s.lastID == 0 || a.s.failedAttempts > 0 && !a.s.endedEmpty
 		a.s.endedEmpty = true
@@ -364,7 +364,7 @@
 			return true
 		}
 	}
-	err := a.s.h.sender.CheckConnection(ctx, a.member)
+	err := a.s.checkSender(ctx, a.member, head)
 	if err == nil || ctx.Err() != nil {
 		return false
 	}
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -54,6 +54,7 @@
 		ReplicateTo    string        // address of the engine that shall hold a replica of this attempt's KV cache; empty: none
 		Rank           Rank          // priority at a busy engine
 		Permit         ratelimit.Permit
+		HealthPath     string // of the service's targets; empty: none
 	}
 
 	// Rank is the priority of an attempt at a busy engine.
@@ -70,6 +71,9 @@
 		Header      http.Header         // passed on to the caller
 		Body        io.ReadCloser
 		Delimited   bool // the body has a length or an end mark, so that a truncated body is detected
+		// CheckTarget, set if the body is not delimited, returns an error if the target that
+		// sent the reply is gone.
+		CheckTarget func(ctx context.Context) error
 		// Events passes the events of the stream to emit until emit returns false. It
 		// returns nil if the target ended the stream. If Events is nil, the body is a
 		// text/event-stream.
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -229,7 +229,7 @@
 			result.end()
 		}
 	}()
-	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt), Permit: permit}
+	r := &AttemptRequest{Call: c.call, Target: m.Target(), Member: m, Org: c.grant.Org, Remaining: c.remaining(startedAt), Permit: permit, HealthPath: c.grant.Service.HealthPath()}
 	result.reply, result.err = c.send(ctx, r)
 	if result.err == nil {
 		result.body, result.rest, result.err = readStart(result.reply.Body)
@@ -247,7 +247,15 @@
 	if result.reply.Delimited || c.shutdownExpected(result.member) {
 		return false
 	}
-	return c.h.sender.CheckConnection(ctx, result.member) != nil && ctx.Err() == nil
+	return c.checkSender(ctx, result.member, result.reply) != nil && ctx.Err() == nil
+}
+
+// checkSender returns an error if the target that sent a reply without a length is gone.
+func (c *activeCall) checkSender(ctx context.Context, m *registry.Member, reply *Reply) error {
+	if reply.CheckTarget != nil {
+		return reply.CheckTarget(ctx)
+	}
+	return c.h.sender.CheckConnection(ctx, m)
 }
 
 // recordHealth records what the result of an attempt says about its target's health.
--- a/poison/describe.go
+++ b/poison/describe.go
@@ -5,11 +5,12 @@
 )
 
 // messages are the log messages about a suspect.
-type messages struct{ crashed, quarantined, released, untracked, probed string }
+type messages struct{ crashed, ranWell, quarantined, released, untracked, probed string }
 
 var (
 	requestMessages = messages{
 		crashed:     "poison: target crashed as it began a request",
+		ranWell:     "poison: request ran well",
 		quarantined: "poison: request quarantined",
 		released:    "poison: quarantined request released",
 		untracked:   "poison: request is no longer tracked",
@@ -17,6 +18,7 @@
 	}
 	partMessages = messages{
 		crashed:     "poison: target crashed as it began a prompt with a part",
+		ranWell:     "poison: part of prompts ran well",
 		quarantined: "poison: part of prompts quarantined",
 		released:    "poison: quarantined part of prompts released",
 		untracked:   "poison: part of prompts is no longer tracked",
--- a/poison/sound.go
+++ b/poison/sound.go
@@ -7,12 +7,13 @@
 )
 
 type (
-	// SoundRun reports that a prompt with a part ran well at a target of a service and
-	// version. The crashes before it do not count against the part.
+	// SoundRun reports that a prompt with a part, or a whole request, ran well at a target of
+	// a service and version. The crashes before it do not count against the part or request.
 	SoundRun struct {
-		Part             Fingerprint
-		Service, Version string
-		Age              time.Duration // time since the run
+		Part    Fingerprint // or the request
+		Service string
+		Version string        // of the target's software; empty: all versions
+		Age     time.Duration // time since the run
 	}
 
 	loggedSoundRun struct {
@@ -88,11 +89,14 @@
 func (t *Tracker) clearCrashes(s *suspect, run SoundRun, source Source, now clock.Time) bool {
 	var rows []RowKey
 	cleared, at := 0, now.Add(-run.Age)
+	r := t.releaseOf(s.print, now)
 	for boot, c := range s.crashes {
-		if c.Service != run.Service || c.Version != run.Version || c.at >= at {
+		sameVersion := run.Version == "" || c.Version == run.Version
+		if c.Service != run.Service || !sameVersion || c.at >= at {
 			continue
 		}
 		cleared++
+		r.boots[boot] = true
 		delete(s.crashes, boot)
 		if (c.storeQueued || c.stored) && (c.observedHere || source == SourceOwn) {
 			rows = append(rows, RowKey{Fingerprint: s.print, Boot: boot})
@@ -106,7 +110,7 @@
 	}
 	t.incCounter(s, "sound")
 	s.describe(t.Log.Info()).Int("clearedDeaths", cleared).Int("deaths", len(s.crashes)).Str("targetVersion", run.Version).Dur("age", run.Age).
-		Str("from", string(source)).Msg("poison: part of prompts ran well")
+		Str("from", string(source)).Msg(s.messages().ranWell)
 	if len(s.crashes) == 0 {
 		t.clear(s, causeSucceeded, source == SourceOwn || len(rows) > 0)
 	}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -14,8 +14,12 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-// maxStoredCrashes bounds the crashes of one suspect that are written to the store.
-const maxStoredCrashes = 8
+const (
+	// maxStoredCrashes bounds the crashes of one suspect that are written to the store.
+	maxStoredCrashes = 8
+	// maxReleasedBoots bounds the crashes of one suspect that are known not to count.
+	maxReleasedBoots = 1024
+)
 
 // Causes in log lines about requests and parts that are no longer tracked.
 const (
@@ -288,6 +292,7 @@
 	if c.Part != "" {
 		soundAt := t.soundRuns.lastAt(c.partRun(), now)
 		if soundAt > at {
+			t.releaseOf(c.Fingerprint, now).boots[c.Boot] = true
 			return false // prompts with the part have run well since
 		}
 		c.SoundBefore = c.SoundBefore || soundAt != 0
@@ -321,6 +326,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.suspects[f]; s != nil {
+		t.logSoundRuns([]SoundRun{{Part: f, Service: s.service}}, now)
 		t.recordRelease(s, now)
 		t.clear(s, causeSucceeded, true)
 		t.evaluate(now)
@@ -329,17 +335,24 @@
 
 // recordRelease keeps the known crashes of a suspect from counting again; t.mu is held.
 func (t *Tracker) recordRelease(s *suspect, now clock.Time) {
+	r := t.releaseOf(s.print, now)
+	for boot := range s.crashes {
+		r.boots[boot] = true
+	}
+}
+
+// releaseOf returns the record of the crashes that don't count any more, to add some; t.mu
+// is held.
+func (t *Tracker) releaseOf(f Fingerprint, now clock.Time) release {
 	if t.released == nil || len(t.released) >= maxSuspects {
 		t.released = map[Fingerprint]release{}
 	}
-	r := release{boots: t.released[s.print].boots, at: now}
-	if r.boots == nil {
+	r := release{boots: t.released[f].boots, at: now}
+	if r.boots == nil || len(r.boots) >= maxReleasedBoots {
 		r.boots = map[ragworthitch.Boot]bool{}
 	}
-	for boot := range s.crashes {
-		r.boots[boot] = true
-	}
-	t.released[s.print] = r
+	t.released[f] = r
+	return r
 }
 
 // clear stops tracking a suspect, and deletes its rows in the store if dropRows
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -99,6 +99,8 @@
 		for range times {
 			tracker.RecordSuccess(fingerprintOf(args[0]), now)
 		}
+	case "peersucceeded":
+		tracker.RecordPeerSoundRuns([]SoundRun{{Part: fingerprintOf(args[0]), Service: "llm"}}, now)
 	case "probed":
 		tracker.ApplyRows([]Row{{RowKey: RowKey{Fingerprint: fingerprintOf(args[0])}, Probes: n(), Version: 7}}, now)
 	case "claimed", "unclaimed":
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -97,9 +97,9 @@
 	}
 	d, err := ragworthitch.NewDesiredState(ragworthitch.DesiredParams{Version: int64(version), Routes: routes,
 		Services: []ragworthitch.Service{
-			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceLLM, HealthPath: pathHealth, MaxConns: 400,
+			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceLLM, HealthPath: platform.HealthPath, MaxConns: 400,
 				Engine: &ragworthitch.Engine{Slots: targetSlots, KVTokens: 55000, CanMigrate: true, CanReplicate: true, TokensPerEvent: 1, ReplicaExpiry: replicaExpiry}}),
-			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceApp, HealthPath: pathHealth, MaxConns: 400})},
+			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceApp, HealthPath: platform.HealthPath, MaxConns: 400})},
 		Limits: ragworthitch.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second},
 		Orgs: []ragworthitch.Organisation{ragworthitch.NewOrganisation(orgFixed, []string{keyFixed}, 1),
 			ragworthitch.NewOrganisation(orgRotating, keys, 1)}})
--- a/soak/target.go
+++ b/soak/target.go
@@ -34,7 +34,6 @@
 	pathReplica     = "/soak/copy"  // keeps a replica; parameters call, events
 	pathLoseAnswers = "/soak/loses" // loses answers; parameter ms
 	pathRateLimit   = "/soak/limit" // names a rate limit; parameters ms, rate
-	pathHealth      = "/health"
 )
 
 type (
@@ -143,7 +142,6 @@
 // extraHandler serves the soak's requests other than calls.
 func (t *Target) extraHandler() *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.HandleFunc(pathHealth, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc(pathReplica, func(_ http.ResponseWriter, r *http.Request) {
 		t.standIn.KeepReplica(r.FormValue("call"), mustAtoi(r.FormValue("events")))
 	})
