poison: the outage of a small service is seen by the targets that are left

Cause: an outage of the service needs two other targets that are lost; targets that the call has tried are not asked, so that one was left of four. Class: a threshold that a small group cannot reach.

Change: if only one other target is left, its loss is enough.

TestOutage has the case; TestBystanders and the tests of poison requests pass.

--- a/poison/bystanders_test.go
+++ b/poison/bystanders_test.go
@@ -275,6 +275,8 @@
 	}
 	assert.True(t, LossObservation{Service: NeighbourCheck{Asked: 3, Lost: 2}}.InOutage())
 	assert.False(t, LossObservation{Service: NeighbourCheck{Asked: 4, Lost: 2}}.InOutage(), "other targets of the service are up")
+	assert.True(t, LossObservation{Service: NeighbourCheck{Asked: 1, Lost: 1}}.InOutage(), "all that the call has not tried are lost")
+	assert.False(t, LossObservation{Service: NeighbourCheck{Asked: 2, Lost: 1}}.InOutage())
 	assert.False(t, LossObservation{Zone: NeighbourCheck{Asked: 1, Lost: 1}}.InOutage(), "a single neighbour says little")
 	assert.False(t, LossObservation{}.InOutage(), "no neighbours")
 	assert.False(t, LossObservation{Draining: true}.Counts())
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -68,8 +68,10 @@
 // Counts reports whether the request may have caused the loss.
 func (l LossObservation) Counts() bool { return Young(l.Events) && !l.Draining }
 
-// InOutage reports whether the target was lost along with others.
+// InOutage reports whether the target was lost along with others. Of a small service, whose
+// other targets the call has tried already, a single one may be left to show it.
 func (l LossObservation) InOutage() bool {
-	service := l.Service.Lost >= outageThreshold && 2*l.Service.Lost > l.Service.Asked
+	enough := min(outageThreshold, max(1, l.Service.Asked))
+	service := l.Service.Lost >= enough && 2*l.Service.Lost > l.Service.Asked
 	return l.Zone.Lost >= outageThreshold || service
 }
