--- a/admit/gate.go
+++ b/admit/gate.go
@@ -13,9 +13,9 @@
 
 const (
 	// gateInterval is how often a Gate measures how late its timer fires.
-	gateInterval = 20 * time.Millisecond
+	gateInterval = 100 * time.Millisecond
 	// gateWeight is the weight of a new measurement in the mean.
-	gateWeight = 0.2
+	gateWeight = 0.3
 	// maxLateness is the mean lateness above which the process has more work than processor
 	// time. Calls then take several times as long, as each waits at many steps.
 	maxLateness = 30 * time.Millisecond
