admit: the gate measures often only while timers are late

Change: one measurement in 100 ms while timers are late by less than 3 ms on the mean, one in 20 ms otherwise.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -12,10 +12,13 @@
 )
 
 const (
-	// gateInterval is how often a Gate measures how late its timer fires.
-	gateInterval = 100 * time.Millisecond
+	// gateInterval is how often a Gate measures how late its timer fires while timers are
+	// late by busyLateness or more on the mean, and calmGateInterval otherwise.
+	gateInterval     = 20 * time.Millisecond
+	calmGateInterval = 100 * time.Millisecond
+	busyLateness     = 3 * time.Millisecond
 	// gateWeight is the weight of a new measurement in the mean.
-	gateWeight = 0.3
+	gateWeight = 0.2
 	// maxLateness is the mean lateness above which the process has more work than processor
 	// time. Calls then take several times as long, as each waits at many steps.
 	maxLateness = 30 * time.Millisecond
@@ -42,11 +45,11 @@
 func (g *Gate) Run(ctx context.Context) error {
 	closed := false
 	for {
-		start := clock.Now()
-		if !clock.Sleep(ctx, gateInterval) {
+		start, interval := clock.Now(), g.interval()
+		if !clock.Sleep(ctx, interval) {
 			return nil
 		}
-		g.measure(clock.Now().Sub(start) - gateInterval)
+		g.measure(clock.Now().Sub(start) - interval)
 		if g.Closed() != closed {
 			closed = !closed
 			g.logChange(closed)
@@ -54,6 +57,14 @@
 	}
 }
 
+// interval returns the time to the next measurement.
+func (g *Gate) interval() time.Duration {
+	if time.Duration(g.lateness.Load()) < busyLateness {
+		return calmGateInterval
+	}
+	return gateInterval
+}
+
 // measure adds a measurement of how late a timer fired.
 func (g *Gate) measure(late time.Duration) {
 	late = min(max(late, 0), maxMeasuredLateness)
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -56,7 +56,7 @@
 	var busyUntil time.Duration
 	nextMeasure := gateInterval
 	for now := time.Duration(0); now < surgeAt+surgeFor; now += time.Millisecond {
-		for ; gated && nextMeasure <= now; nextMeasure += gateInterval {
+		for ; gated && nextMeasure <= now; nextMeasure += g.interval() {
 			g.measure(busyUntil - nextMeasure)
 		}
 		rate := c.Rate
