poison: pairs of long ids are told apart; three comments reworded

Found by reading the change again. A pair's fingerprint was made of ids that had been cut to 64 bytes, so that pairs of different long parts with the same beginning counted as one, and a pair of two long ids lost its separator and was taken for a single part. It is now made of the parts' fingerprints, and its id of both ids, cut to 31 bytes each. TestPairs fails on the code before and passes now.

Comments of exchange, Instance.runGate and attempt.brokeOff: an overlong line, pronouns without a noun.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -354,8 +354,8 @@
 }
 
 // brokeOff reports whether a stream that ended with its connection, between two events,
-// broke off: it had no event at all, or its target is gone. That an interrupted stream has no
-// further event takes two targets' word.
+// broke off: it had no event at all, or its target is gone. A stream that was interrupted
+// before counts as ended without a further event only if two targets end it so.
 func (a *attempt) brokeOff(ctx context.Context, head *Reply) bool {
 	if a.events == 0 {
 		doubtful := a.s.lastID == 0 || a.s.failedAttempts > 0 && !a.s.endedEmpty
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -199,8 +199,8 @@
 	return nil
 }
 
-// runGate measures the processor time that is left, from the start on: what an instance has
-// to read at first takes much of it, and its callers are better off waiting for that.
+// runGate runs the gate once this instance has read all tables. Reading them takes much
+// processor time for a moment, in which calls wait and are then served.
 func (i *Instance) runGate(ctx context.Context) error {
 	select {
 	case <-i.started:
--- a/poison/request.go
+++ b/poison/request.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"slices"
 	"strings"
@@ -9,6 +10,8 @@
 const (
 	// maxPartID bounds the id of a part in records and logs, in bytes.
 	maxPartID = 64
+	// maxPairedID is the same for each id of a pair.
+	maxPairedID = (maxPartID - len(pairSeparator)) / 2
 	// maxPairedParts is the number of parts of a prompt up to which their pairs are
 	// tracked.
 	maxPairedParts = 6
@@ -63,15 +66,26 @@
 	single := out
 	for i, x := range single {
 		for _, y := range single[:i] {
-			out = append(out, newPart(min(x.ID, y.ID)+pairSeparator+max(x.ID, y.ID)))
+			out = append(out, newPair(x, y))
 		}
 	}
 	return out
 }
 
 func newPart(id string) Part {
-	return Part{Fingerprint: sha256.Sum256([]byte(id)), ID: id[:min(len(id), maxPartID)]}
+	return Part{Fingerprint: sha256.Sum256([]byte(id)), ID: cut(id, maxPartID)}
 }
 
+// newPair returns the pair of two parts, in whichever order they are given.
+func newPair(x, y Part) Part {
+	if bytes.Compare(x.Fingerprint[:], y.Fingerprint[:]) > 0 {
+		x, y = y, x
+	}
+	both := append(x.Fingerprint[:], y.Fingerprint[:]...)
+	return Part{Fingerprint: sha256.Sum256(both), ID: cut(x.ID, maxPairedID) + pairSeparator + cut(y.ID, maxPairedID)}
+}
+
+func cut(id string, maxBytes int) string { return id[:min(len(id), maxBytes)] }
+
 // isPair reports whether the id is that of a pair of parts.
 func isPair(id string) bool { return strings.Contains(id, pairSeparator) }
