poison: what ran well just before its targets were lost is not quarantined for that

All targets of its service are killed at once. It was at several of them in several calls, which looked like a poison request that several callers send; the check of the neighbours says "alone" when the call has tried all others.

Now: crashes under a request that ran well lately at that version count once they go on for 2 s without another such run; if no target is left to run it, they don't go on. The same for parts, whose rule (2 s without a run) had the same fault when targets stay away for longer. Of contested requests a crash counts 100 ms later. Requests that the crashes don't tell apart are told apart by a probe at once, as parts were. Successes count by version: those at another version neither spare a request nor release it.

Changed expectations: "a request that used to succeed" (9 successes, then 3 crashes in one second: quarantined) was the fault itself; it is free after 1 s now and quarantined by a crash at 2 s; 10 and 40 successes likewise later; a part that ran well is stopped by the crash at 3 s, not by 2 s without calls; an attempt at another version releases nothing (TestUnrelatedLossNotBlamed has one version).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -278,7 +278,7 @@
 	a.events++
 	s.totalEvents++
 	if !poison.Young(s.totalEvents) {
-		s.recordNoCrash()
+		s.recordNoCrash(a.member)
 	}
 	if a.replicaTarget == nil && a.events == soundAfterEvents {
 		s.recordSoundRun(a.member)
@@ -377,7 +377,7 @@
 func (a *attempt) finishWithoutStream(head *Reply, body []byte) error {
 	s := a.s
 	s.mayHaveRun = true
-	s.recordNoCrash()
+	s.recordNoCrash(a.member)
 	a.member.Health().Answered(clock.Now(), 0, head.isFailure())
 	s.recordSymptom(a.member, rollout.Failing, head.isFailure())
 	a.failureRecorded = true
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -185,7 +185,7 @@
 		return false
 	}
 	c.mayHaveRun = true
-	c.recordNoCrash()
+	c.recordNoCrash(result.member)
 	if result.reply.isFailure() {
 		return false
 	}
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -27,8 +27,8 @@
 	// quarantinedPartBody to one with a quarantined part.
 	quarantinedBody     = "This request has crashed the targets that ran it, and is not run again for now (%s).\n"
 	quarantinedPartBody = "A part of this prompt has crashed the targets that ran it, and is not run again for now (part %s).\n"
-	// unresolvedRetryAfter is about the time in which a probe shows whether a part crashes
-	// targets.
+	// unresolvedRetryAfter is about the time in which a probe shows whether a request or a
+	// part crashes targets.
 	unresolvedRetryAfter = time.Second
 	// soundAfterEvents is the number of events after which an attempt has run well: a prompt
 	// that crashes targets does so earlier.
@@ -124,11 +124,15 @@
 
 // answerQuarantined answers a quarantined request. The status is 500, not 503, because the
 // request ran at the targets that it crashed. Retry-After is the time until a probe is due.
-// A call that did not run and whose part a probe is about to clear may come back soon.
+// A call that did not run and that a probe is about to clear may come back soon.
 func (c *activeCall) answerQuarantined(st poison.Status) {
 	c.h.stats.quarantined.Inc(1)
 	if st.Unresolved && !c.mayHaveRun {
-		c.reject("part "+st.Part+" of the prompt is quarantined until a probe clears it", unresolvedRetryAfter)
+		what := "the request"
+		if st.Part != "" {
+			what = "part " + st.Part + " of the prompt"
+		}
+		c.reject(what+" is quarantined until a probe clears it", unresolvedRetryAfter)
 		return
 	}
 	c.h.log.Warn().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("part", st.Part).Str("route", c.grant.Route.Name()).Str("org", c.grant.Org).
@@ -164,12 +168,15 @@
 	return pick(ms)
 }
 
-// recordNoCrash records that the request did not crash its target: it ran to an answer of
-// any status, or for too many events to be a poison request.
-func (c *activeCall) recordNoCrash() {
-	if !c.noCrashRecorded {
-		c.noCrashRecorded = true
-		c.h.poisonTracker.RecordSuccess(c.request.Fingerprint, clock.Now())
+// recordNoCrash records that the request did not crash a target: it ran to an answer of any
+// status, or for too many events to be a poison request.
+func (c *activeCall) recordNoCrash(m *registry.Member) {
+	if c.noCrashRecorded {
+		return
+	}
+	c.noCrashRecorded = true
+	if c.h.poisonTracker.RecordSuccess(c.request, m.Target().Version(), clock.Now()) {
+		c.h.notifyPeers()
 	}
 }
 
--- a/ingress/poison_test.go
+++ b/ingress/poison_test.go
@@ -258,7 +258,7 @@
 		bubble(t, tt.name, func(t *testing.T) {
 			s := &poisonSender{}
 			h := newTestHandler(t, s, ragworthitch.CallStream)
-			addTargets(h, "v1")
+			addTargets(h, "") // of the same version as the others
 			c := newCall("harmless")
 			request := poison.Request{Fingerprint: poison.Of("", c.Method, c.Host, c.Path, c.Body)}
 			go func() {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -85,7 +85,7 @@
 		}
 		a, err := s.runAttempt(ctx, m, replicaTarget, permit)
 		if err == nil {
-			s.recordNoCrash()
+			s.recordNoCrash(m)
 			s.recordAnswer(m, http.StatusOK)
 			return
 		}
--- a/poison/bystanders_test.go
+++ b/poison/bystanders_test.go
@@ -14,12 +14,14 @@
 )
 
 const (
+	popularName     = "p"
 	tick            = 10 * time.Millisecond
 	simulatedTime   = 60 * time.Second
 	prefillTime     = 1500 * time.Millisecond // mean time from sending to the first event, queueing included
 	eventInterval   = 40 * time.Millisecond
 	eventsPerStream = 130
 	downTime        = 2 * time.Second
+	restartLead     = 150 * time.Millisecond
 	// poisonInterval is the mean time between two calls with a poison request, and
 	// poisonCrashDelay the time from the start of an attempt to the crash.
 	poisonInterval   = 500 * time.Millisecond
@@ -41,6 +43,8 @@
 		Outages float64 // zone outages
 		Share   float64 // of the zone's targets that are lost in an outage
 		Half    bool    // half of a random zone's targets are lost every 7 s
+		All     bool    // all targets are lost every 7 s, restartLead after the instance started
+		Popular float64 // new calls with the same request, which have no prefill
 		Poison  int     // requests that crash whatever runs them
 	}
 
@@ -67,7 +71,7 @@
 		targets          []simulatedTarget
 		streams          []*simulatedStream
 		streamCount      int
-		tracker          Tracker
+		tracker          *Tracker
 		crashesByRequest map[string]int // of the poison requests
 	}
 )
@@ -81,7 +85,7 @@
 			t.Parallel()
 			lostAttempts, attributions := 0, 0
 			for seed := range uint64(simulations) {
-				sim := &simulation{scenario: c, rng: rand.New(rand.NewPCG(seed, 1)), crashesByRequest: map[string]int{}}
+				sim := &simulation{scenario: c, rng: rand.New(rand.NewPCG(seed, 1)), tracker: new(Tracker), crashesByRequest: map[string]int{}}
 				lost, attributed := sim.run(t)
 				lostAttempts, attributions = lostAttempts+lost, attributions+attributed
 				assert.Len(t, sim.crashesByRequest, c.Poison)
@@ -123,6 +127,9 @@
 		sim.streamCount++
 		sim.send(&simulatedStream{name: fmt.Sprint("s", sim.streamCount)})
 	}
+	if sim.occurs(sim.Popular) {
+		sim.send(&simulatedStream{name: popularName})
+	}
 	for i := range sim.Poison {
 		name := fmt.Sprint("x", i)
 		if sim.occurs(1/poisonInterval.Seconds()) && !sim.tracker.Status(requestOf(name), sim.clock()).Quarantined {
@@ -137,7 +144,10 @@
 		s.target = sim.rng.IntN(len(sim.targets))
 		if sim.targets[s.target].downUntil <= sim.now {
 			s.boot, s.attemptTime = sim.targets[s.target].boot, 0
-			s.untilPrefilled = time.Duration((0.5 + sim.rng.Float64()) * float64(prefillTime))
+			s.untilPrefilled = 0
+			if s.name != popularName {
+				s.untilPrefilled = time.Duration((0.5 + sim.rng.Float64()) * float64(prefillTime))
+			}
 			sim.streams = append(sim.streams, s)
 			return
 		}
@@ -154,6 +164,14 @@
 	if sim.Half && sim.now%(7*time.Second) == 3*time.Second {
 		sim.outage(sim.rng.IntN(sim.Zones), 0.5)
 	}
+	if sim.All && sim.now%(7*time.Second) == 3*time.Second-restartLead {
+		sim.tracker = new(Tracker)
+	}
+	if sim.All && sim.now%(7*time.Second) == 3*time.Second {
+		for zone := range sim.Zones {
+			sim.outage(zone, 1)
+		}
+	}
 }
 
 func (sim *simulation) outage(zone int, share float64) {
@@ -189,7 +207,7 @@
 		}
 		s.streamedTime += tick
 		if s.eventCount() == maxEarlyEvents+1 {
-			sim.tracker.RecordSuccess(fingerprintOf(s.name), sim.clock())
+			sim.tracker.RecordSuccess(requestOf(s.name), "v1", sim.clock())
 		}
 	}
 }
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -14,8 +14,8 @@
 //
 // Sound requests may share the caller and all parts but one with those that crash targets.
 // Each request that begins an answer clears the parts that it has (SoundRun), at targets of
-// the same service and version, and instances tell each other so. A part that has run well
-// lately is suspected only if it does not do so again soon after a crash. Of several parts
+// the same service and version, and instances tell each other so. A request or part that has
+// run well lately is suspected only if its crashes go on without such a run. Of several parts
 // that no evidence tells apart, a request that has only some is sent as a probe.
 //
 // A quarantine ends: after a delay, or when the service has a new version, one instance
--- a/poison/part_steps_test.go
+++ b/poison/part_steps_test.go
@@ -63,7 +63,11 @@
 	case "peersound":
 		var runs []SoundRun
 		for _, p := range r.Parts {
-			runs = append(runs, SoundRun{Part: p.Fingerprint, Service: "llm", Version: "v1", Age: parseDuration(t, args[1])})
+			run := SoundRun{Part: p.Fingerprint, Service: "llm", Version: "v1", Age: parseDuration(t, args[1])}
+			for _, target := range args[2:] {
+				run.Boots = append(run.Boots, ragworthitch.NewBoot(target, 0))
+			}
+			runs = append(runs, run)
 		}
 		tracker.RecordPeerSoundRuns(runs, now)
 	case "stored":
@@ -169,7 +173,7 @@
 			r := prompt("o", "served", "a+b+c")
 			for b.Loop() {
 				tracker.Status(r, 2)
-				tracker.RecordSuccess(r.Fingerprint, 2)
+				tracker.RecordSuccess(r, "v1", 2)
 				tracker.RecordSoundRun(r, "v1", 2)
 			}
 		})
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -29,11 +29,6 @@
 	Row         int64 // version of the row that counts the probes, before this one; 0: no row
 }
 
-// ClaimProbe is like ClaimProbes for one probe.
-func (t *Tracker) ClaimProbe(p Probe, row int64, now clock.Time) bool {
-	return t.ClaimProbes([]Probe{p}, row, now)
-}
-
 // ClaimProbes takes the probes of one call for this instance. It returns false if another
 // probe has been made since the status was read. After a claim no probe is due until the
 // longer delay is over. row is the version of the rows that now count the probes.
@@ -61,11 +56,11 @@
 // untilProbe returns the time until the next probe of a quarantined suspect is due.
 func (s *suspect) untilProbe(unresolved bool, now clock.Time) time.Duration {
 	delay := s.probeDelay()
-	if unresolved && s.mayBeProbed() {
+	switch {
+	case unresolved && s.probes == 0:
+		delay = 0
+	case unresolved && s.part != "" && s.mayBeProbed():
 		delay = unresolvedProbeDelay
-		if s.probes == 0 {
-			delay = 0
-		}
 	}
 	return max(0, s.updatedAt.Add(delay).Sub(now))
 }
@@ -89,13 +84,10 @@
 // mayBeProbed reports whether the suspect may be probed again while it is known.
 func (s *suspect) mayBeProbed() bool { return s.part == "" || s.probes < maxPartProbes }
 
-// isUnresolved reports whether a quarantined part may be innocent: another suspect had begun
-// at all targets that crashed under the part, and is not in this request, which therefore
-// tells the two apart. t.mu is held.
+// isUnresolved reports whether a quarantined suspect may be innocent: another one had begun
+// at all targets that crashed under it, and is not in this request, which therefore tells
+// the two apart. t.mu is held.
 func (t *Tracker) isUnresolved(s *suspect, r Request, now clock.Time) bool {
-	if s.part == "" {
-		return false
-	}
 	own := r.fingerprints()
 	for _, o := range t.suspects {
 		if o.quarantined && !slices.Contains(own, o.print) && o.explains(s, now) {
--- a/poison/request.go
+++ b/poison/request.go
@@ -51,6 +51,8 @@
 	return out
 }
 
+func (r Request) partFingerprints() []Fingerprint { return r.fingerprints()[1:] }
+
 // Parts returns the parts with the given ids, each once and without empty ids, and the pairs
 // of up to maxPairedParts parts.
 func Parts(ids []string) []Part {
--- a/poison/sound.go
+++ b/poison/sound.go
@@ -1,11 +1,16 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
+	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
+// maxClearedBoots bounds the targets that a report of a sound run names.
+const maxClearedBoots = 32
+
 type (
 	// SoundRun reports that a prompt with a part, or a whole request, ran well at a target of
 	// a service and version. The crashes before it do not count against the part or request.
@@ -14,6 +19,8 @@
 		Service string
 		Version string        // of the target's software; empty: all versions
 		Age     time.Duration // time since the run
+		// Boots are targets that had crashed before the run, as far as they count.
+		Boots []ragworthitch.Boot
 	}
 
 	loggedSoundRun struct {
@@ -22,14 +29,25 @@
 	}
 )
 
+// RecordSuccess records that an attempt succeeded at a target of the version, or ran longer
+// than a poison request takes to crash its target. It reports whether this is news for other
+// instances.
+func (t *Tracker) RecordSuccess(r Request, version string, now clock.Time) bool {
+	t.successes.add(partRun{part: r.Fingerprint, service: r.Service, version: version}, now)
+	return t.recordRuns([]Fingerprint{r.Fingerprint}, r.Service, version, now)
+}
+
 // RecordSoundRun records that a request ran well at a target of the version, so that none
 // of its parts crashes such targets. It reports whether this is news for other instances.
 func (t *Tracker) RecordSoundRun(r Request, version string, now clock.Time) bool {
-	runs := make([]SoundRun, 0, len(r.Parts))
-	for _, p := range r.Parts {
-		run := partRun{part: p.Fingerprint, service: r.Service, version: version}
-		t.soundRuns.add(run, now, now)
-		runs = append(runs, SoundRun{Part: run.part, Service: run.service, Version: run.version})
+	return t.recordRuns(r.partFingerprints(), r.Service, version, now)
+}
+
+func (t *Tracker) recordRuns(prints []Fingerprint, service, version string, now clock.Time) bool {
+	runs := make([]SoundRun, 0, len(prints))
+	for _, f := range prints {
+		t.soundRuns.add(partRun{part: f, service: service, version: version}, now, now)
+		runs = append(runs, SoundRun{Part: f, Service: service, Version: version})
 	}
 	if t.suspectCount.Load() == 0 {
 		return false
@@ -65,8 +83,14 @@
 func (t *Tracker) applySoundRuns(runs []SoundRun, source Source, now clock.Time) bool {
 	anyCleared := false
 	for _, run := range runs {
-		if s := t.suspects[run.Part]; s != nil && t.clearCrashes(s, run, source, now) {
+		t.releaseBoots(run, now)
+		s := t.suspects[run.Part]
+		if s == nil {
+			continue
+		}
+		if cleared := t.clearCrashes(s, run, source, now); len(cleared) > 0 {
 			anyCleared = true
+			run.Boots = union(run.Boots, cleared)
 			t.logSoundRuns([]SoundRun{run}, now)
 		}
 	}
@@ -83,48 +107,78 @@
 	}
 }
 
-// clearCrashes removes the crashes of a part before a sound run, and reports whether there
-// were any. Their rows are deleted by the instances that observed the crash or the run. t.mu
-// is held.
-func (t *Tracker) clearCrashes(s *suspect, run SoundRun, source Source, now clock.Time) bool {
+// releaseBoots keeps the crashes that a run names from counting when they are reported later;
+// t.mu is held.
+func (t *Tracker) releaseBoots(run SoundRun, now clock.Time) {
+	if len(run.Boots) == 0 {
+		return
+	}
+	r := t.releaseOf(run.Part, now)
+	for _, boot := range run.Boots {
+		r.boots[boot] = true
+	}
+}
+
+// union returns the boots of both lists, each once, at most maxClearedBoots.
+func union(x, y []ragworthitch.Boot) []ragworthitch.Boot {
+	out := slices.Clone(x)
+	for _, boot := range y {
+		if !slices.Contains(out, boot) && len(out) < maxClearedBoots {
+			out = append(out, boot)
+		}
+	}
+	return out
+}
+
+// isBefore reports whether a crash came before a run, so that it doesn't count any more.
+func (c *crashRecord) isBefore(run SoundRun, source Source, now clock.Time) bool {
+	sameVersion := run.Version == "" || c.Version == run.Version
+	if c.Service != run.Service || !sameVersion {
+		return false
+	}
+	return source == SourceOwn || c.at < now.Add(-run.Age) || slices.Contains(run.Boots, c.Boot)
+}
+
+// clearCrashes removes the crashes of a suspect before a run, and returns their targets.
+// Their rows are deleted by the instances that observed the crash or the run. t.mu is held.
+func (t *Tracker) clearCrashes(s *suspect, run SoundRun, source Source, now clock.Time) []ragworthitch.Boot {
 	var rows []RowKey
-	cleared, at := 0, now.Add(-run.Age)
+	var cleared []ragworthitch.Boot
 	r := t.releaseOf(s.print, now)
 	for boot, c := range s.crashes {
-		sameVersion := run.Version == "" || c.Version == run.Version
-		if c.Service != run.Service || !sameVersion || c.at >= at {
+		if !c.isBefore(run, source, now) {
 			continue
 		}
-		cleared++
+		cleared = append(cleared, boot)
 		r.boots[boot] = true
 		delete(s.crashes, boot)
 		if (c.storeQueued || c.stored) && (c.observedHere || source == SourceOwn) {
 			rows = append(rows, RowKey{Fingerprint: s.print, Boot: boot})
 		}
 	}
-	if cleared == 0 {
-		return false
+	if len(cleared) == 0 {
+		return nil
 	}
 	if len(rows) > 0 {
 		t.queueEdit(Edit{Drop: rows})
 	}
 	t.incCounter(s, "sound")
-	s.describe(t.Log.Info()).Int("clearedDeaths", cleared).Int("deaths", len(s.crashes)).Str("targetVersion", run.Version).Dur("age", run.Age).
+	s.describe(t.Log.Info()).Int("clearedDeaths", len(cleared)).Int("deaths", len(s.crashes)).Str("targetVersion", run.Version).Dur("age", run.Age).
 		Str("from", string(source)).Msg(s.messages().ranWell)
 	if len(s.crashes) == 0 {
 		t.clear(s, causeSucceeded, source == SourceOwn || len(rows) > 0)
 	}
-	return true
+	return cleared
 }
 
-// SoundAt reports whether a request that is quarantined for its parts may run at targets of
-// a version: prompts with these parts have run well there, and none has crashed one.
+// SoundAt reports whether a quarantined request may run at targets of a version: what is
+// quarantined has run well there, and has crashed none.
 func (t *Tracker) SoundAt(r Request, version string, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.quarantinedIn(r) {
 		ranWell := t.soundRuns.lastAt(partRun{part: s.print, service: r.Service, version: version}, now) != 0
-		if s.part == "" || !ranWell || s.hasCrashedAt(r.Service, version) {
+		if !ranWell || s.hasCrashedAt(r.Service, version) {
 			return false
 		}
 	}
--- a/poison/successes.go
+++ b/poison/successes.go
@@ -5,23 +5,23 @@
 )
 
 type (
-	// successCounter counts recent successful attempts by request. The zero value is ready
+	// successCounter counts recent successful attempts by request and version. The zero value is ready
 	// to use.
-	successCounter struct{ counts windows[Fingerprint, int] }
+	successCounter struct{ counts windows[partRun, int] }
 
-	// soundRuns holds when prompts with a part last ran well. The zero value is ready to
+	// soundRuns holds when requests, and prompts with a part, last ran well. The zero value is ready to
 	// use.
 	soundRuns struct{ last windows[partRun, clock.Time] }
 )
 
 // add counts a successful attempt of a request.
-func (c *successCounter) add(f Fingerprint, now clock.Time) {
-	c.counts.update(f, now, func(n int) int { return n + 1 })
+func (c *successCounter) add(run partRun, now clock.Time) {
+	c.counts.update(run, now, func(n int) int { return n + 1 })
 }
 
 // recent returns the recent successes of a request.
-func (c *successCounter) recent(f Fingerprint, now clock.Time) int {
-	current, previous := c.counts.get(f, now)
+func (c *successCounter) recent(run partRun, now clock.Time) int {
+	current, previous := c.counts.get(run, now)
 	return current + previous
 }
 
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -60,7 +60,7 @@
 		successes    successCounter
 		soundRuns    soundRuns
 		losses       lossTable
-		settleAt     clock.Time // when the next crash begins to count; 0: none will
+		evaluateAt   clock.Time // when the next crash begins to count; 0: none will
 	}
 
 	// suspect is a request, or a part of prompts, under which targets have crashed; it may
@@ -72,6 +72,7 @@
 		service         string
 		crashes         map[ragworthitch.Boot]*crashRecord
 		quarantined     bool
+		contested       bool  // other requests had just begun at targets that crashed
 		threshold       int   // crashes that quarantine the request, at the last evaluation
 		probes          int   // since the quarantine
 		probeRowVersion int64 // of the store's row that counts the probes; 0: no row
@@ -134,7 +135,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settle(now)
+	t.evaluateIfDue(now)
 	var st Status
 	if s := t.suspects[r.Fingerprint]; s != nil && !s.quarantined {
 		st.Crashes = len(s.countedCrashes(now))
@@ -259,7 +260,7 @@
 	anyNew := false
 	for _, c := range crashes {
 		if source == SourceOwn && c.Part == "" {
-			c.RecentSuccesses = t.successes.recent(c.Fingerprint, now)
+			c.RecentSuccesses = t.successes.recent(c.partRun(), now)
 		}
 		if t.addCrash(c, source, now) {
 			anyNew = true
@@ -289,14 +290,12 @@
 		return false
 	}
 	at := now.Add(-c.Age)
-	if c.Part != "" {
-		soundAt := t.soundRuns.lastAt(c.partRun(), now)
-		if soundAt > at {
-			t.releaseOf(c.Fingerprint, now).boots[c.Boot] = true
-			return false // prompts with the part have run well since
-		}
-		c.SoundBefore = c.SoundBefore || soundAt != 0
+	soundAt := t.soundRuns.lastAt(c.partRun(), now)
+	if soundAt > at {
+		t.releaseOf(c.Fingerprint, now).boots[c.Boot] = true
+		return false // it has run well since
 	}
+	c.SoundBefore = c.SoundBefore || soundAt != 0 || c.RecentSuccesses > 0
 	s := t.suspects[c.Fingerprint]
 	if s == nil {
 		t.evictFor(c.Org, source == SourceOwn)
@@ -310,37 +309,13 @@
 	}
 	s.crashes[c.Boot] = &crashRecord{Crash: c, at: at, knownAt: now, observedHere: source == SourceOwn, stored: source == SourceStore}
 	s.updatedAt = now
+	t.recordBystanders(s, c)
 	t.incCounter(s, "deaths")
 	s.describe(t.Log.Warn()).Str("target", c.Boot.ID()).Str("call", c.Call).Str("targetVersion", c.Version).Bool("together", c.InOutage).
 		Str("from", string(source)).Int("deaths", len(s.countedCrashes(now))).Msg(s.messages().crashed)
 	return true
 }
 
-// RecordSuccess records that an attempt succeeded, or ran longer than a poison request
-// takes to crash its target. The request is released.
-func (t *Tracker) RecordSuccess(f Fingerprint, now clock.Time) {
-	t.successes.add(f, now)
-	if t.suspectCount.Load() == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.suspects[f]; s != nil {
-		t.logSoundRuns([]SoundRun{{Part: f, Service: s.service}}, now)
-		t.recordRelease(s, now)
-		t.clear(s, causeSucceeded, true)
-		t.evaluate(now)
-	}
-}
-
-// recordRelease keeps the known crashes of a suspect from counting again; t.mu is held.
-func (t *Tracker) recordRelease(s *suspect, now clock.Time) {
-	r := t.releaseOf(s.print, now)
-	for boot := range s.crashes {
-		r.boots[boot] = true
-	}
-}
-
 // releaseOf returns the record of the crashes that don't count any more, to add some; t.mu
 // is held.
 func (t *Tracker) releaseOf(f Fingerprint, now clock.Time) release {
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -75,6 +75,10 @@
 		c := crashOf(args[0], args[1])
 		c.Call, c.InOutage = args[2], true
 		tracker.RecordCrash(c, SourceOwn, now)
+	case "shared":
+		c := crashOf(args[0], args[1])
+		c.Call = args[0]
+		tracker.RecordCrash(c, SourceOwn, now)
 	case "reported":
 		tracker.RecordCrash(crashOf(args[0], args[1], args[2:]...), SourcePeer, now)
 	case "stored":
@@ -97,14 +101,14 @@
 			times = n()
 		}
 		for range times {
-			tracker.RecordSuccess(fingerprintOf(args[0]), now)
+			tracker.RecordSuccess(requestOf(args[0]), "v1", now)
 		}
 	case "peersucceeded":
 		tracker.RecordPeerSoundRuns([]SoundRun{{Part: fingerprintOf(args[0]), Service: "llm"}}, now)
 	case "probed":
 		tracker.ApplyRows([]Row{{RowKey: RowKey{Fingerprint: fingerprintOf(args[0])}, Probes: n(), Version: 7}}, now)
 	case "claimed", "unclaimed":
-		assert.Equal(t, verb == "claimed", tracker.ClaimProbe(Probe{Fingerprint: fingerprintOf(args[0]), Count: n()}, 7, now), text)
+		assert.Equal(t, verb == "claimed", tracker.ClaimProbes([]Probe{{Fingerprint: fingerprintOf(args[0]), Count: n()}}, 7, now), text)
 	case "expire":
 		tracker.Expire(now)
 	case "untracked":
@@ -168,7 +172,7 @@
 	tracker.RecordCrash(crashOf("a", "t2"), SourcePeer, 1)
 	edits, more := tracker.TakeEdits()
 	assert.Equal(t, []Edit{{Crash: crashOf("a", "t1")}}, edits, "crashes that a peer observed are written by the peer")
-	tracker.RecordSuccess(fingerprintOf("a"), 2)
+	tracker.RecordSuccess(requestOf("a"), "v1", 2)
 	<-more
 	tracker.RequeueEdits(edits)
 	edits, _ = tracker.TakeEdits()
@@ -186,7 +190,7 @@
 	assert.Equal(t, []Crash{crashOf("a", "t1"), crashOf("b", "t1")}, crashes)
 	crashes, _ = tracker.CrashesSince(n, 2)
 	assert.Empty(t, crashes)
-	tracker.RecordSuccess(fingerprintOf("a"), 2)
+	tracker.RecordSuccess(requestOf("a"), "v1", 2)
 	crashes, _ = tracker.CrashesSince(0, 2)
 	assert.Equal(t, []Crash{crashOf("b", "t1")}, crashes)
 }
@@ -226,13 +230,13 @@
 	assert.Equal(t, minCrashThreshold, strings.Count(log.String(), "poison: target crashed as it began a request"))
 	assert.Contains(t, log.String(), `"targets":["t0","t1","t2"]`)
 	assert.Equal(t, 1, strings.Count(log.String(), "poison: request quarantined"))
-	require.True(t, tracker.ClaimProbe(tracker.Status(requestOf("a"), 2).Probes[0], 9, 2))
+	require.True(t, tracker.ClaimProbes(tracker.Status(requestOf("a"), 2).Probes, 9, 2))
 	assert.Contains(t, log.String(), "poison: quarantined request is probed once")
-	tracker.RecordSuccess(fingerprintOf("a"), 3)
+	tracker.RecordSuccess(requestOf("a"), "v1", 3)
 	assert.Contains(t, log.String(), `"cause":"ran well"`)
 	counts := map[string]int64{}
 	for _, c := range scope.Snapshot().Counters() {
 		counts[c.Name()] = c.Value()
 	}
-	assert.Equal(t, map[string]int64{"poison_deaths": 3, "poison_condemned": 1, "poison_trials": 1, "poison_cleared": 1}, counts)
+	assert.Equal(t, map[string]int64{"poison_deaths": 3, "poison_condemned": 1, "poison_trials": 1, "poison_sound": 1, "poison_cleared": 1}, counts)
 }
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -22,9 +22,13 @@
 	// damage of a caller that sends thousands of different poison requests, each of
 	// which otherwise costs minCrashThreshold targets.
 	strictOrgQuarantines = 16
-	// settleTime is the time from a crash until it counts against a part that has run well
-	// lately. A sound part runs well again within that time, also at other instances.
+	// settleTime is the least time between the first and the last crash of a suspect that
+	// has run well lately, for them to count. In between, a sound one runs well again, if
+	// any target is left to run it.
 	settleTime = 2 * time.Second
+	// reportTime is the time within which all instances know of a crash, and of which
+	// requests its target had begun.
+	reportTime = 100 * time.Millisecond
 )
 
 // explanation is a suspect as the cause of one crash.
@@ -65,7 +69,7 @@
 		if s.quarantined {
 			threshold = min(threshold, s.threshold)
 		}
-		quarantine := !t.DryRun && s.attributed(explanations) >= threshold && !t.mostlySucceeds(s, now)
+		quarantine := !t.DryRun && s.attributed(explanations, now) >= threshold && !t.mostlySucceeds(s, now)
 		if quarantine {
 			for _, c := range s.crashes {
 				e := s.explain(c)
@@ -78,7 +82,7 @@
 		s.threshold = threshold
 		t.storeCrashes(s.suspect, now)
 	}
-	t.scheduleSettling(now)
+	t.scheduleEvaluation(now)
 }
 
 // rank returns the suspects with the crashes that count, those with the most crashes first
@@ -100,10 +104,14 @@
 	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return !c.SoundBefore })
 }
 
-// attributed returns how many crashes no quarantined suspect explains better.
-func (s countedSuspect) attributed(explanations map[ragworthitch.Boot]explanation) int {
+// attributed returns how many crashes no quarantined suspect explains better. Those of a
+// contested request have been known for reportTime.
+func (s countedSuspect) attributed(explanations map[ragworthitch.Boot]explanation, now clock.Time) int {
 	n := 0
 	for _, c := range s.crashes {
+		if s.contested && now.Sub(c.knownAt) < reportTime {
+			continue
+		}
 		if !explanations[c.Boot].isBetterThan(s.explain(c)) {
 			n++
 		}
@@ -134,6 +142,20 @@
 	return s.part == "" && t.recentSuccesses(s.suspect, now) > maxSuccessesPerCrash*len(s.crashes)
 }
 
+// recordBystanders marks two requests as contested if both had just begun at a target that
+// crashed; t.mu is held.
+func (t *Tracker) recordBystanders(s *suspect, c Crash) {
+	if s.part != "" {
+		return
+	}
+	for _, o := range t.suspects {
+		other := o.crashes[c.Boot]
+		if other != nil && o.part == "" && other.Call != c.Call {
+			s.contested, o.contested = true, true
+		}
+	}
+}
+
 // hasBystanders reports whether another call had just begun at a target that crashed under
 // the request; t.mu is held.
 func (t *Tracker) hasBystanders(s *suspect) bool {
@@ -158,32 +180,36 @@
 	return false
 }
 
-// settle evaluates the suspects anew if crashes have begun to count; t.mu is held.
-func (t *Tracker) settle(now clock.Time) {
-	if t.settleAt != 0 && now >= t.settleAt {
+// evaluateIfDue evaluates the suspects anew if crashes have begun to count; t.mu is held.
+func (t *Tracker) evaluateIfDue(now clock.Time) {
+	if t.evaluateAt != 0 && now >= t.evaluateAt {
 		t.evaluate(now)
 	}
 }
 
-// scheduleSettling sets when the next crash begins to count; t.mu is held.
-func (t *Tracker) scheduleSettling(now clock.Time) {
-	t.settleAt = 0
+// scheduleEvaluation sets when the next crash begins to count; t.mu is held.
+func (t *Tracker) scheduleEvaluation(now clock.Time) {
+	t.evaluateAt = 0
 	for _, s := range t.suspects {
+		if !s.contested {
+			continue
+		}
 		for _, c := range s.crashes {
-			at := c.at.Add(settleTime)
-			if c.SoundBefore && at > now && (t.settleAt == 0 || at < t.settleAt) {
-				t.settleAt = at
+			at := c.knownAt.Add(reportTime)
+			if at > now && (t.evaluateAt == 0 || at < t.evaluateAt) {
+				t.evaluateAt = at
 			}
 		}
 	}
 }
 
-// recentSuccesses returns how many attempts of a request succeeded recently: the highest
-// count of this instance and of the instances that observed a crash under the request.
+// recentSuccesses returns how many attempts of a request succeeded recently at targets of a
+// version that crashed: the highest count of this instance and of the instances that
+// observed a crash under the request.
 func (t *Tracker) recentSuccesses(s *suspect, now clock.Time) int {
-	n := t.successes.recent(s.print, now)
+	n := 0
 	for _, c := range s.crashes {
-		n = max(n, c.RecentSuccesses)
+		n = max(n, c.RecentSuccesses, t.successes.recent(c.partRun(), now))
 	}
 	return n
 }
@@ -217,20 +243,43 @@
 
 // countedCrashes returns the crashes that count against a suspect: those of targets
 // that were lost alone, and those of targets that were lost with others if several of
-// them were running attempts of it. A zone outage usually hits a single attempt. A crash
-// counts against a part that has run well lately once it has not done so again for
-// settleTime.
+// them were running attempts of it. A zone outage usually hits a single attempt. Suspects
+// that have run well lately are given time.
 func (s *suspect) countedCrashes(now clock.Time) []*crashRecord {
+	if s.ranWellLately() && s.crashPeriod() < settleTime {
+		return nil
+	}
 	var out []*crashRecord
 	for _, c := range s.crashes {
-		settled := !c.SoundBefore || now.Sub(c.at) >= settleTime
-		if settled && (!c.InOutage || s.hasConcurrentCrash(c)) {
+		if !c.InOutage || s.hasConcurrentCrash(c) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
+// ranWellLately reports whether the suspect had run well before one of its crashes.
+func (s *suspect) ranWellLately() bool {
+	for _, c := range s.crashes {
+		if c.SoundBefore {
+			return true
+		}
+	}
+	return false
+}
+
+// crashPeriod returns the time between the first and the last crash.
+func (s *suspect) crashPeriod() time.Duration {
+	var first, last clock.Time
+	for _, c := range s.crashes {
+		if first == 0 || c.at < first {
+			first = c.at
+		}
+		last = max(last, c.at)
+	}
+	return last.Sub(first)
+}
+
 // hasConcurrentCrash reports whether another call with the same request lost another
 // target at about the same time.
 func (s *suspect) hasConcurrentCrash(c *crashRecord) bool {
