poison, wire: a report of a sound run names the crashes before it

Cause: receivers date a crash when its report arrives, so that a run within the delay of the links counts as before it.

--- a/wire/crashes.go
+++ b/wire/crashes.go
@@ -49,15 +49,22 @@
 	return poison.Crash{Fingerprint: print, Boot: ragworthitch.NewBoot(f.T, f.B), Call: f.C, InOutage: f.A, RecentSuccesses: f.W, Org: f.O, Service: f.S, Version: f.V}, err
 }
 
-func encodeSoundRuns(runs []poison.SoundRun) []soundRunFrame {
-	var out []soundRunFrame
-	for _, r := range runs {
-		out = append(out, soundRunFrame{F: r.Part[:], S: r.Service, V: r.Version, G: encodeAge(r.Age)})
+func encodeSoundRuns(runs []poison.SoundRun) (frames []soundRunFrame, cleared []clearedBootsFrame) {
+	for i, r := range runs {
+		frames = append(frames, soundRunFrame{F: r.Part[:], S: r.Service, V: r.Version, G: encodeAge(r.Age)})
+		if len(r.Boots) == 0 {
+			continue
+		}
+		f := clearedBootsFrame{I: i}
+		for _, boot := range r.Boots {
+			f.T = append(f.T, bootFrame{T: boot.ID(), B: boot.Started()})
+		}
+		cleared = append(cleared, f)
 	}
-	return out
+	return frames, cleared
 }
 
-func decodeSoundRuns(frames []soundRunFrame) ([]poison.SoundRun, error) {
+func decodeSoundRuns(frames []soundRunFrame, cleared []clearedBootsFrame) ([]poison.SoundRun, error) {
 	var out []poison.SoundRun
 	for _, f := range frames {
 		print, err := decodeFingerprint(f.F)
@@ -70,6 +77,14 @@
 		}
 		out = append(out, poison.SoundRun{Part: print, Service: f.S, Version: f.V, Age: age})
 	}
+	for _, f := range cleared {
+		if f.I < 0 || f.I >= len(out) {
+			return nil, fmt.Errorf("%w: cleared targets of sound run %d of %d", ErrBadFrame, f.I, len(out))
+		}
+		for _, boot := range f.T {
+			out[f.I].Boots = append(out[f.I].Boots, ragworthitch.NewBoot(boot.T, boot.B))
+		}
+	}
 	return out, nil
 }
 
--- a/wire/view.go
+++ b/wire/view.go
@@ -77,6 +77,7 @@
 		R []rateLimitFrame     `cbor:"6,keyasint,omitempty"`
 		Q []partCrashFrame     `cbor:"7,keyasint,omitempty"`
 		S []soundRunFrame      `cbor:"8,keyasint,omitempty"`
+		C []clearedBootsFrame  `cbor:"9,keyasint,omitempty"`
 	}
 
 	rateLimitFrame struct {
@@ -127,6 +128,20 @@
 		G int64 // milliseconds
 	}
 
+	// clearedBootsFrame holds SoundRun.Boots of the run with an index. It is apart from
+	// soundRunFrame so that instances without it can read the view.
+	clearedBootsFrame struct {
+		_ struct{} `cbor:",toarray"`
+		I int
+		T []bootFrame
+	}
+
+	bootFrame struct {
+		_ struct{} `cbor:",toarray"`
+		T string
+		B int64
+	}
+
 	cacheLocationFrame struct {
 		_ struct{} `cbor:",toarray"`
 		S string
@@ -162,7 +177,7 @@
 	}
 	f.P, f.R = encodeCacheLocations(v.CacheLocations), encodeRateLimits(v.RateLimits)
 	f.D, f.Q = encodeCrashes(v.Crashes)
-	f.S = encodeSoundRuns(v.SoundRuns)
+	f.S, f.C = encodeSoundRuns(v.SoundRuns)
 	return cbor.Marshal(f)
 }
 
@@ -222,7 +237,7 @@
 	if v.Crashes, err = decodeCrashes(f.D, f.Q); err != nil {
 		return View{}, err
 	}
-	if v.SoundRuns, err = decodeSoundRuns(f.S); err != nil {
+	if v.SoundRuns, err = decodeSoundRuns(f.S, f.C); err != nil {
 		return View{}, err
 	}
 	if v.RateLimits, err = decodeRateLimits(f.R); err != nil {
--- a/wire/view_test.go
+++ b/wire/view_test.go
@@ -30,4 +30,10 @@
 	require.NoError(t, err)
 	_, err = DecodeView(b)
 	assert.ErrorIs(t, err, ErrBadFrame)
+
+	f = viewFrame{N: "n", C: []clearedBootsFrame{{I: 0}}}
+	b, err = cbor.Marshal(f)
+	require.NoError(t, err)
+	_, err = DecodeView(b)
+	assert.ErrorIs(t, err, ErrBadFrame)
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -102,7 +102,8 @@
 			CacheLocations: []CacheLocation{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
 			Crashes: []poison.Crash{{Fingerprint: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", InOutage: true, RecentSuccesses: 3, Org: "o", Service: "llm", Version: "v1"},
 				{Fingerprint: poison.Parts([]string{"5c1e"})[0].Fingerprint, Part: "5c1e", Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Org: "o", Service: "llm", Version: "v1", SoundBefore: true, Age: 70 * time.Millisecond}},
-			SoundRuns: []poison.SoundRun{{Part: poison.Parts([]string{"5c1e"})[0].Fingerprint, Service: "llm", Version: "v1", Age: 2 * time.Second}}},
+			SoundRuns: []poison.SoundRun{{Part: poison.Parts([]string{"5c1e"})[0].Fingerprint, Service: "llm", Version: "v1", Age: 2 * time.Second,
+				Boots: []ragworthitch.Boot{ragworthitch.NewBoot("t1", 7)}}}},
 	} {
 		b, err := EncodeView(v)
 		require.NoError(t, err)
