poison, instance: a probe is sent also when its row is read before its claim is answered

Cause: the instance that claims a probe in the store reads changes of the table at the same time. Where the change came 1 ms before the claim's answer, the count of probes already had the claim, and the instance took that for another's: nobody sent the probe, and of a part it was one of two. Log: "probed once ... trials 2" at all three instances, "sent as a probe" at none.

Now a claim that the store has accepted is this instance's.

--- a/instance/crashes.go
+++ b/instance/crashes.go
@@ -75,5 +75,6 @@
 		i.log.Info().Stringer("fingerprint", probes[0].Fingerprint).Int("trial", probes[0].Count).AnErr("cause", err).Msg("instance: probe not claimed")
 		return false
 	}
-	return i.poisonTracker.ClaimProbes(probes, row, clock.Now())
+	i.poisonTracker.RecordClaim(probes, row, clock.Now())
+	return true
 }
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -29,7 +29,7 @@
 	Row         int64 // version of the row that counts the probes, before this one; 0: no row
 }
 
-// ClaimProbes takes the probes of one call for this instance. It returns false if another
+// ClaimProbes takes the probes of one call where the store need not be asked. It returns false if another
 // probe has been made since the status was read. After a claim no probe is due until the
 // longer delay is over. row is the version of the rows that now count the probes.
 func (t *Tracker) ClaimProbes(probes []Probe, row int64, now clock.Time) bool {
@@ -46,6 +46,18 @@
 	return true
 }
 
+// RecordClaim records the probes that this instance has claimed in the store, with the version
+// of the rows that now count them. The rows themselves may have been read already.
+func (t *Tracker) RecordClaim(probes []Probe, row int64, now clock.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range probes {
+		if s := t.suspects[p.Fingerprint]; s != nil && s.probes < p.Count {
+			t.recordProbe(s, p.Count, row, now)
+		}
+	}
+}
+
 // recordProbe counts a probe; t.mu is held.
 func (t *Tracker) recordProbe(s *suspect, count int, row int64, now clock.Time) {
 	s.probes, s.probeRowVersion, s.updatedAt = count, max(s.probeRowVersion, row), now
