budget, ratelimit: what an instance reads just after its start is not the whole list, also for retries

Causes: (1) the extra retries are divided by the number of instances as it is read, also while the list still grows after a start; ratelimit had the same fault, mended for it alone. (2) When others are gone, an instance takes over their part at once, though they have used it in the same window. (3) A list that could not grow, as the store was away, counted as whole after 1 s (ratelimit too).

Now package membership judges the list for both, by the time up to which it is complete, and a part of the extra retries is that of the largest number of instances in the window. While the list is not whole there are no extra retries: 1 s for a lone instance, its own calls' share is not touched.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -7,10 +7,12 @@
 package budget
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/membership"
 )
 
 const (
@@ -39,14 +41,22 @@
 	// one, and when the number was read; ok is false if it is unknown.
 	InstanceCount func() (n int, at clock.Time, ok bool)
 
-	// Budget counts calls and retries of every service. Make one with New.
+	// Budget counts calls and retries of every service. Make one with New or NewShared.
 	Budget struct {
 		limit         Limit
 		instanceCount InstanceCount
+		growth        membership.Growth
 		bucketSpan    time.Duration
 
 		mu       sync.Mutex
 		services map[string]*window
+		counts   recentCounts
+	}
+
+	// recentCounts holds the largest number of instances in each bucket of the last window.
+	recentCounts struct {
+		largest [buckets]int
+		newest  int64 // number of the newest bucket since time 0
 	}
 
 	// window counts the recent calls and retries of one service, by bucket.
@@ -57,10 +67,17 @@
 	}
 )
 
-// New returns a budget with the given limit. A nil instanceCount means that the
-// limit isn't shared.
-func New(l Limit, instanceCount InstanceCount) *Budget {
-	return &Budget{limit: l, instanceCount: instanceCount, bucketSpan: max(l.Window/buckets, time.Millisecond), services: map[string]*window{}}
+// New returns a budget with the given limit, which isn't shared.
+func New(l Limit) *Budget {
+	return &Budget{limit: l, bucketSpan: max(l.Window/buckets, time.Millisecond), services: map[string]*window{}}
+}
+
+// NewShared returns the budget of an instance that shares the limit with others and started
+// at the given time.
+func NewShared(l Limit, instanceCount InstanceCount, started clock.Time) *Budget {
+	b := New(l)
+	b.instanceCount, b.growth.Started = instanceCount, started
+	return b
 }
 
 // CountCall counts an incoming call to a service.
@@ -95,8 +112,9 @@
 	return ratioMargin*b.limit.Ratio*float64(calls) + b.extra(now), used
 }
 
-// extra returns this instance's part of the extra retries. While the number of instances
-// is unknown it is none, since any number of instances may have started at once.
+// extra returns this instance's part of the extra retries: that of the largest number of
+// instances in the window, as those that are gone have used theirs in it. While the number is
+// unknown it is none, since any number of instances may have started at once. b.mu is held.
 func (b *Budget) extra(now clock.Time) float64 {
 	if b.instanceCount == nil {
 		return b.limit.Extra
@@ -105,7 +123,17 @@
 	if n == 0 {
 		return 0
 	}
-	return extraMargin * b.limit.Extra / float64(n)
+	return extraMargin * b.limit.Extra / float64(b.counts.add(n, int64(now)/int64(b.bucketSpan)))
+}
+
+// add adds a number of instances and returns the largest in the window.
+func (c *recentCounts) add(n int, bucket int64) int {
+	for i := max(c.newest+1, bucket-buckets+1); i <= bucket; i++ {
+		c.largest[i%buckets] = 0
+	}
+	c.newest = max(c.newest, bucket)
+	c.largest[c.newest%buckets] = max(c.largest[c.newest%buckets], n)
+	return slices.Max(c.largest[:])
 }
 
 // Instances returns the number of instances that are assumed to share the limit; 0 if
@@ -116,7 +144,7 @@
 	}
 	n, at, ok := b.instanceCount()
 	switch {
-	case !ok:
+	case !ok || !b.growth.IsWhole(n, at, now):
 		return 0
 	case now.Sub(at) > staleAfter:
 		return 2 * n
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,7 +114,7 @@
 	e := &Entry{cfg: cfg, self: self, log: log, scope: scope,
 		store: platform.NewClient(cfg.Platform.Listen, storeTimeout), targets: map[string]*target{}}
 	e.callHandler = ingress.New(ingress.Config{Zone: self.Zone, DesiredState: desiredState, Targets: &e.members, CacheLocations: &e.cacheLocations,
-		RetryBudget: budget.New(retryLimit, nil), Sender: sender{e}, TargetWait: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
+		RetryBudget: budget.New(retryLimit), Sender: sender{e}, TargetWait: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
 	return e, nil
 }
 
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -69,7 +69,7 @@
 		bubble(t, tt.name, func(t *testing.T) {
 			s := &pausingSender{pause: 3 * time.Second, unreachable: tt.unreachable}
 			h := newTestHandler(t, s, ragworthitch.CallStream)
-			h.retryBudget = budget.New(budget.Limit{Extra: tt.retries, Window: 10 * time.Second}, nil)
+			h.retryBudget = budget.New(budget.Limit{Extra: tt.retries, Window: 10 * time.Second})
 			w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
 			assert.False(t, cut)
 			assert.Equal(t, http.StatusOK, w.Code)
@@ -85,7 +85,7 @@
 	bubble(t, "", func(t *testing.T) {
 		s := &pausingSender{pause: 3 * time.Second, unreachable: true}
 		h := newTestHandler(t, s, ragworthitch.CallStream)
-		h.retryBudget = budget.New(budget.Limit{Window: 10 * time.Second}, nil)
+		h.retryBudget = budget.New(budget.Limit{Window: 10 * time.Second})
 		requests := 0
 		h.borrowRetries = func(_ context.Context, service string) {
 			requests++
@@ -127,7 +127,7 @@
 func TestRefusedConnectionIsNoRetry(t *testing.T) {
 	s := &refusedSender{refusals: 3}
 	h := newTestHandler(t, s, ragworthitch.CallStream)
-	h.retryBudget = budget.New(budget.Limit{Extra: 1, Window: 10 * time.Second}, nil)
+	h.retryBudget = budget.New(budget.Limit{Extra: 1, Window: 10 * time.Second})
 	w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
 	assert.False(t, cut)
 	assert.Contains(t, w.Body.String(), "id: 2\n")
--- a/ingress/fuzz_test.go
+++ b/ingress/fuzz_test.go
@@ -134,7 +134,7 @@
 			Address: fmt.Sprintf("127.0.0.1:%d", 1+i), Zone: string(rune('a' + i%3)), Slots: 8}), 0)
 	}
 	return New(Config{Zone: "a", DesiredState: tracker, Targets: &targets, CacheLocations: &cachelocation.Table{}, Sender: s, Log: zerolog.Nop(),
-		RetryBudget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Window: 10 * time.Second}, nil)})
+		RetryBudget: budget.New(budget.Limit{Ratio: 0.8, Extra: 1000, Window: 10 * time.Second})})
 }
 
 // serve serves one call and reports whether the answer was cut off.
--- a/ingress/limited_service_test.go
+++ b/ingress/limited_service_test.go
@@ -120,7 +120,7 @@
 	s.pools = append(s.pools, pool)
 	s.handlers = append(s.handlers, New(Config{BorrowPermits: func(ctx context.Context, m *registry.Member) { s.borrow(ctx, pool, m.Target().ID()) }, Zone: string(rune('a' + i%3)), DesiredState: tracker, Targets: &targets, CacheLocations: &cachelocation.Table{}, Sender: s, Log: zerolog.Nop(),
 		RateLimits:  group,
-		RetryBudget: budget.New(budget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}, nil)}))
+		RetryBudget: budget.New(budget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second})}))
 }
 
 // borrow asks the other instances for permits, one after the other.
--- a/lend/lend_test.go
+++ b/lend/lend_test.go
@@ -40,8 +40,8 @@
 // Guards against loans that exceed the budget, as retries count for the lender and
 // the borrower together, and against a lender that lends all of its part.
 func TestBorrow(t *testing.T) {
-	own, lenderBudget := budget.New(limit, nil), budget.New(limit, nil)
-	perInstance := spendAll(budget.New(limit, nil))
+	own, lenderBudget := budget.New(limit), budget.New(limit)
+	perInstance := spendAll(budget.New(limit))
 	far := peer(t, "far", "b", lenderBudget)
 	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	used := spendAll(own)
@@ -58,7 +58,7 @@
 
 // Guards against a round of requests for each stream that needs a retry.
 func TestConcurrentBorrow(t *testing.T) {
-	own, lenderBudget := budget.New(budget.Limit{Window: limit.Window}, nil), budget.New(limit, nil)
+	own, lenderBudget := budget.New(budget.Limit{Window: limit.Window}), budget.New(limit)
 	far := peer(t, "far", "b", lenderBudget)
 	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{far} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	var group sync.WaitGroup
@@ -78,8 +78,8 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	silent := exchange.Peer{Node: "silent", Zone: "b", Addr: ln.Addr().String()}
-	sameZone := peer(t, "near", "a", budget.New(limit, nil))
-	own := budget.New(budget.Limit{Window: limit.Window}, nil)
+	sameZone := peer(t, "near", "a", budget.New(limit))
+	own := budget.New(budget.Limit{Window: limit.Window})
 	b := &Borrower{Zone: "a", Peers: func() []exchange.Peer { return []exchange.Peer{sameZone, silent} }, Pool: own, Path: wire.LoanPath, Log: zerolog.Nop()}
 	started := time.Now()
 	b.Borrow(t.Context(), service)
--- a/ratelimit/group.go
+++ b/ratelimit/group.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
+	"github.com/ragworthitch/ragworthitch/membership"
 )
 
 const (
@@ -23,11 +24,6 @@
 	// minRingAge is the least time between two rings, as the list of instances changes
 	// often while many start.
 	minRingAge = 500 * time.Millisecond
-	// The list that an instance has in the first startTime after its start counts as whole
-	// once it has not grown for settleTime: when all start at once, each hears of the others
-	// one by one, and the one that knows least would send most.
-	startTime  = 8 * time.Second
-	settleTime = time.Second
 )
 
 type (
@@ -49,18 +45,16 @@
 		Self string
 		// List returns the list of instances; nil: there are no others.
 		List func() Members
-		// Started is when this instance started; 0: at the first use.
-		Started clock.Time
+		// Growth judges the list while this instance has just started.
+		Growth membership.Growth
+		// Wall returns the time of day; nil: time.Now.
+		Wall func() time.Time
 
 		mu      sync.Mutex
 		ring    ring
 		version uint64     // of the members in ring
 		builtAt clock.Time // when ring was built; 0: never
 
-		listMu     sync.Mutex
-		listSize   int // at the last use
-		listGrewAt clock.Time
-
 		startOnce   sync.Once
 		startedAt   clock.Time
 		startedWall time.Time
@@ -201,30 +195,12 @@
 		return 1, false
 	}
 	m := g.List()
-	if !m.Known || g.isGrowing(len(m.Others), now) {
+	if !m.Known || !g.Growth.IsWhole(len(m.Others), m.AsOf, now) {
 		return 0, false
 	}
 	return len(m.Others) + 1, now.Sub(m.AsOf) > staleAfter
 }
 
-// isGrowing reports whether this instance has started lately and its list, now of the given
-// size, may lack others that have as well.
-func (g *Group) isGrowing(size int, now clock.Time) bool {
-	g.listMu.Lock()
-	defer g.listMu.Unlock()
-	if g.Started == 0 {
-		g.Started = now
-	}
-	if g.listGrewAt == 0 {
-		g.listGrewAt = g.Started
-	}
-	if size > g.listSize {
-		g.listGrewAt = now
-	}
-	g.listSize = size
-	return now.Sub(g.Started) < startTime && now.Sub(g.listGrewAt) < settleTime
-}
-
 // owns returns the function that tells which permits of a target are this instance's; l.mu
 // is held.
 func (g *Group) owns(l *Limit, target string, now clock.Time) func(permit int64) bool {
@@ -249,7 +225,13 @@
 // sharedTime returns the time of day in seconds. It is read once and then follows the boot
 // clock, which doesn't jump.
 func (g *Group) sharedTime(now clock.Time) float64 {
-	g.startOnce.Do(func() { g.startedAt, g.startedWall = now, time.Now() })
+	g.startOnce.Do(func() {
+		wall := g.Wall
+		if wall == nil {
+			wall = time.Now
+		}
+		g.startedAt, g.startedWall = now, wall()
+	})
 	return float64(g.startedWall.UnixNano())/float64(time.Second) + now.Sub(g.startedAt).Seconds()
 }
 
