--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -27,10 +27,10 @@
     "the key is passed on": ("UNASKED", "platform/headers.go", "var systemHeaders = []string{headerKey, ", "var systemHeaders = []string{"),
     "no end in time": ("FINAL", "ingress/handler.go", "	ctx, cancel := context.WithTimeout(ctx, limit)", "	ctx, cancel := context.WithTimeout(ctx, limit+time.Minute)"),
     "the verdict is forgotten at a restart": ("DEADLY", "instance/crashes.go", "	err := platform.CrashWriter{Store: i.store}.Apply(writeCtx, edits[:n])", "	err := writeCtx.Err()"),
-    "a bystander is condemned": ("BYSTANDER", "poison/verdict.go", "		quarantine := !t.DryRun && s.attributed(explanations) >= threshold && !t.mostlySucceeds(s, now)", "		quarantine := s.attributed(explanations) > 0"),
+    "a bystander is condemned": ("BYSTANDER", "poison/verdict.go", "		quarantine := !t.DryRun && s.attributed(explanations, now) >= threshold && !t.mostlySucceeds(s, now)", "		quarantine := s.attributed(explanations, now) > 0"),
     "crashes count for each request only": ("DEADLY", "poison/tracker.go", "	for _, p := range r.Parts {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID", "	for _, p := range r.Parts[:0] {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID"),
-    "a sound part is stopped": ("BACK", "poison/sound.go", "		if s := t.suspects[run.Part]; s != nil && t.clearCrashes(s, run, source, now) {", "		if s := t.suspects[run.Part]; s == nil && t.clearCrashes(s, run, source, now) {",
-        "poison/tracker.go", "		c.SoundBefore = c.SoundBefore || soundAt != 0", "		c.SoundBefore = false", "poison/tracker.go", "		if soundAt > at {", "		if false && soundAt > at {"),
+    "a sound part is stopped": ("BACK", "poison/sound.go", "		if s == nil {\n			continue\n		}\n", "		if s != nil || s == nil {\n			continue\n		}\n",
+        "poison/tracker.go", "	c.SoundBefore = c.SoundBefore || soundAt != 0 || c.RecentSuccesses > 0", "	c.SoundBefore = false", "poison/tracker.go", "	if soundAt > at {", "	if false && soundAt > at {"),
     "every instance probes a part, again and again": ("DEADLY", "poison/probe.go", "	firstPartProbeDelay  = 5 * time.Minute", "	firstPartProbeDelay  = time.Millisecond", "poison/probe.go", "	maxPartProbes        = 2", "	maxPartProbes        = 1 << 20",
         "poison/probe.go", "	for range s.probes {", "	for range 0 {", "instance/crashes.go", "	row, err := platform.CrashWriter{Store: i.store}.ClaimProbes(ctx, probes)", "	row, err := int64(0), ctx.Err()"),
     "streams go round rate limits": ("LIMIT", "ingress/rate_limit.go", "	if !m.RateLimit().Active() ||", "	if c.grant.Route.Kind() == ragworthitch.CallStream ||\n		!m.RateLimit().Active() ||",
@@ -51,9 +51,9 @@
 }
 
 
-def build(name, folder):
+def build(name, folder, bugs=BUGS):
     """Builds a copy of the tree with a bug; returns the program's path."""
-    changes = BUGS[name][1:]
+    changes = bugs[name][1:]
     copy = os.path.join(folder, re.sub(r"\W", "_", name))
     shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns("journal", ".git"))
     for path, old, new in zip(changes[::3], changes[1::3], changes[2::3]):
