rehearse: the quarantine of requests and of parts of prompts

Counted: requests that reach targets later than 3 s after the fifth crash, from instances in touch (3 allowed), and how often sound calls with the same caller and other parts begin.

--- a/rehearse/bounds.go
+++ b/rehearse/bounds.go
@@ -11,6 +11,8 @@
 const (
 	BoundRateLimit = "rateLimit" // requests to a target that names a rate limit
 	BoundRetries   = "retries"   // retries of the calls to a service
+	// BoundQuarantine is on the requests that crash targets once they are known to.
+	BoundQuarantine = "quarantine"
 )
 
 type (
@@ -39,8 +41,9 @@
 )
 
 var bounds = map[string]boundKind{
-	BoundRateLimit: {limits: []float64{0.1, 0.5, 4.4, 40, 1000}, play: playRateLimit},
-	BoundRetries:   {limits: []float64{1, 20, 150, 1040}, play: playRetries},
+	BoundRateLimit:  {limits: []float64{0.1, 0.5, 4.4, 40, 1000}, play: playRateLimit},
+	BoundQuarantine: {limits: []float64{0.5, 2, 6}, play: playQuarantine},
+	BoundRetries:    {limits: []float64{1, 20, 150, 1040}, play: playRetries},
 }
 
 // Bounds returns the names of the bounds, sorted.
--- a/scripts/rehearsebugs.py
+++ b/scripts/rehearsebugs.py
@@ -19,6 +19,11 @@
     "a permit is taken twice": ("rateLimit", "ratelimit/group.go", "		l.permits.take(n)\n	}\n	return ok", "		_ = n\n	}\n	return ok"),
     "a list that still grows is taken for whole": ("rateLimit", "ratelimit/group.go", " || !g.Growth.IsWhole(len(m.Others), m.AsOf, now)", ""),
     "lent permits are not counted": ("rateLimit", "ratelimit/group.go", "		l.permits.take(permit)\n		lent++", "		_ = permit\n		lent++"),
+    "crashes count for each request only": ("quarantine", "poison/tracker.go", "	for _, p := range r.Parts {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID", "	for _, p := range r.Parts[:0] {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID"),
+    "sound runs clear nothing": ("quarantine", "poison/sound.go", "		if s == nil {\n			continue\n		}\n", "		if s != nil || s == nil {\n			continue\n		}\n",
+        "poison/tracker.go", "	c.SoundBefore = c.SoundBefore || soundAt != 0 || c.RecentSuccesses > 0", "	c.SoundBefore = false", "poison/tracker.go", "	if soundAt > at {", "	if false && soundAt > at {"),
+    "peers' reports are not read": ("quarantine", "poison/tracker.go", "		if t.addCrash(c, source, now) {", "		if source == SourceOwn && t.addCrash(c, source, now) {"),
+    "probes are due again at once": ("quarantine", "poison/probe.go", "	return max(0, s.updatedAt.Add(delay).Sub(now))", "	return 0 * max(0, s.updatedAt.Add(delay).Sub(now))", "poison/probe.go", "	maxPartProbes        = 2", "	maxPartProbes        = 1 << 20"),
 }
 
 
