--- a/budget/budget.go
+++ b/budget/budget.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
-	"github.com/ragworthitch/ragworthitch/membership"
 )
 
 const (
@@ -45,7 +44,6 @@
 	Budget struct {
 		limit         Limit
 		instanceCount InstanceCount
-		growth        membership.Growth
 		bucketSpan    time.Duration
 
 		mu       sync.Mutex
@@ -72,11 +70,10 @@
 	return &Budget{limit: l, bucketSpan: max(l.Window/buckets, time.Millisecond), services: map[string]*window{}}
 }
 
-// NewShared returns the budget of an instance that shares the limit with others and started
-// at the given time.
-func NewShared(l Limit, instanceCount InstanceCount, started clock.Time) *Budget {
+// NewShared returns the budget of an instance that shares the limit with others.
+func NewShared(l Limit, instanceCount InstanceCount) *Budget {
 	b := New(l)
-	b.instanceCount, b.growth.Started = instanceCount, started
+	b.instanceCount = instanceCount
 	return b
 }
 
@@ -144,7 +141,7 @@
 	}
 	n, at, ok := b.instanceCount()
 	switch {
-	case !ok || !b.growth.IsWhole(n, at, now):
+	case !ok:
 		return 0
 	case now.Sub(at) > staleAfter:
 		return 2 * n
--- a/membership/growth.go
+++ b/membership/growth.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// The list that an instance has after its start counts as whole once it has not grown for
-	// settleTime, at the latest when it is of startTime after the start: when all start at
-	// once, each hears of the others one by one, and the one that knows least would take the
-	// largest share.
+	// The list that an instance has in the first startTime after its start counts as whole
+	// once it has not grown for settleTime: when all start at once, each hears of the others
+	// one by one, and the one that knows least would take the largest share.
 	startTime  = 8 * time.Second
 	settleTime = time.Second
 )
@@ -29,9 +28,9 @@
 	grewAt clock.Time
 }
 
-// IsWhole reports whether the list, which now has the given size and is complete up to asOf,
-// lacks no others that have started at the same time.
-func (g *Growth) IsWhole(size int, asOf, now clock.Time) bool {
+// IsWhole reports whether the list, which now has the given size, lacks no others that have
+// started at the same time.
+func (g *Growth) IsWhole(size int, now clock.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.Started == 0 {
@@ -44,5 +43,5 @@
 		g.grewAt = now
 	}
 	g.size = size
-	return asOf.Sub(g.Started) >= startTime || asOf.Sub(g.grewAt) >= settleTime
+	return now.Sub(g.Started) >= startTime || now.Sub(g.grewAt) >= settleTime
 }
--- a/ratelimit/group.go
+++ b/ratelimit/group.go
@@ -195,7 +195,7 @@
 		return 1, false
 	}
 	m := g.List()
-	if !m.Known || !g.Growth.IsWhole(len(m.Others), m.AsOf, now) {
+	if !m.Known || !g.Growth.IsWhole(len(m.Others), now) {
 		return 0, false
 	}
 	return len(m.Others) + 1, now.Sub(m.AsOf) > staleAfter
