Read again: names, comments, bounds of plans and of reports

Faults: reports of sound runs could name 8,192 targets in one view, of which 128 kB is read (now 512; TestReportsOfSoundRunsAreBounded, failing without); a plan's faults and times had no upper bound (an overflow of the number of instances); two additions within a second could start the same instance; a quarantine broken by sound calls was printed as "0 where 3 are allowed"; a rehearsal went on shrinking after Ctrl-C; the log line of a request limited to versions at which it runs well spoke of parts only.

Names and comments: settleTime of poison is minCrashPeriod (membership has a settleTime); comments that spoke of parts where requests are meant too.

--- a/cmd/ragworthitch/rehearse.go
+++ b/cmd/ragworthitch/rehearse.go
@@ -97,13 +97,13 @@
 type progress struct {
 	mu     sync.Mutex
 	played int
-	broken []rehearse.Outcome
+	broken int
 	worst  rehearse.Outcome
 	shown  time.Time
 }
 
-// playSeeds plays the plans of a bound on all processors, prints a line, and the smallest
-// plan if the bound was broken.
+// playSeeds plays the plans of a bound on all processors until ctx ends, prints a line, and a
+// small plan if the bound was broken.
 func (c *rehearseCmd) playSeeds(ctx context.Context, bound string) (broken bool, err error) {
 	start := time.Now()
 	pr := &progress{shown: start}
@@ -129,9 +129,9 @@
 		return false, err
 	}
 	fmt.Printf("%s: %d of %d plans of %d instances played in %v, %d broke the bound; at worst %.2f of what is allowed (seed %d: %v)\n",
-		bound, pr.played, c.seeds, c.instances, time.Since(start).Round(time.Millisecond), len(pr.broken), pr.worst.Worst, pr.worst.Plan.Seed, pr.worst)
-	if len(pr.broken) == 0 {
-		return false, nil
+		bound, pr.played, c.seeds, c.instances, time.Since(start).Round(time.Millisecond), pr.broken, pr.worst.Worst, pr.worst.Plan.Seed, pr.worst)
+	if pr.broken == 0 || ctx.Err() != nil {
+		return pr.broken > 0, nil
 	}
 	small := rehearse.Shrink(pr.worst)
 	fmt.Printf("%s: smallest plan found: %v\n%v", bound, small, small.Plan)
@@ -146,10 +146,10 @@
 		p.worst = o
 	}
 	if o.Broken() {
-		p.broken = append(p.broken, o)
+		p.broken++
 	}
 	if time.Since(p.shown) >= progressInterval {
 		p.shown = time.Now()
-		fmt.Fprintf(os.Stderr, "%s: %d of %d plans played, %d broke the bound\n", bound, p.played, seeds, len(p.broken))
+		fmt.Fprintf(os.Stderr, "%s: %d of %d plans played, %d broke the bound\n", bound, p.played, seeds, p.broken)
 	}
 }
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -60,8 +60,8 @@
 	return true
 }
 
-// limitToSoundTargets limits the call to targets of versions at which prompts with its
-// quarantined parts run well, and reports whether there are any.
+// limitToSoundTargets limits the call to targets of versions at which its request, or prompts
+// with its quarantined parts, run well, and reports whether there are any.
 func (c *activeCall) limitToSoundTargets(st poison.Status) bool {
 	sound := map[string]bool{} // by version
 	now := clock.Now()
@@ -76,8 +76,8 @@
 		return false
 	}
 	c.targetFilter, c.soundElsewhere = atSoundVersion, true
-	c.h.log.Info().Str("request", c.call.ID).Str("part", st.Part).Int("deaths", st.Crashes).
-		Msg("ingress: request limited to versions at which its quarantined part runs well")
+	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("part", st.Part).Int("deaths", st.Crashes).
+		Msg("ingress: quarantined request limited to versions at which it runs well")
 	return true
 }
 
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -33,7 +33,7 @@
 		Org         string
 		Service     string
 		Version     string // of the target's software
-		// SoundBefore means that prompts with the part had run well recently.
+		// SoundBefore means that the request, or prompts with the part, had run well recently.
 		SoundBefore bool
 		Age         time.Duration // time since the crash, if it is a part's and a peer reports it
 		// RecentSuccesses is how many attempts of the request had succeeded recently at the
--- a/poison/part_steps_test.go
+++ b/poison/part_steps_test.go
@@ -179,3 +179,25 @@
 		})
 	}
 }
+
+// Guards against views that grow too large to be sent, with reports of sound runs that name
+// many crashed targets.
+func TestReportsOfSoundRunsAreBounded(t *testing.T) {
+	var tracker Tracker
+	const runs, crashes = maxReportLog, maxClearedBoots + 8
+	for n := range runs {
+		r := Request{Fingerprint: fingerprintOf(fmt.Sprint("o", n)), Org: fmt.Sprint("o", n/maxSuspectsPerOrg), Service: "llm"}
+		for i := range crashes {
+			tracker.RecordOwnCrash(r, Crash{Boot: ragworthitch.NewBoot(fmt.Sprint(n, "-", i), 0), Call: "c", Version: "v1"}, 1)
+		}
+		require.True(t, tracker.RecordSuccess(r, "v1", 2))
+	}
+	reports, _ := tracker.SoundRunsSince(0, 3)
+	require.Len(t, reports, runs)
+	boots := 0
+	for _, r := range reports {
+		assert.LessOrEqual(t, len(r.Boots), maxClearedBoots)
+		boots += len(r.Boots)
+	}
+	assert.Equal(t, maxReportedBoots, boots)
+}
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -29,9 +29,10 @@
 	Row         int64 // version of the row that counts the probes, before this one; 0: no row
 }
 
-// ClaimProbes takes the probes of one call where the store need not be asked. It returns false if another
-// probe has been made since the status was read. After a claim no probe is due until the
-// longer delay is over. row is the version of the rows that now count the probes.
+// ClaimProbes takes the probes of one call for an instance that shares them with no other. It
+// returns false if another probe has been made since the status was read. After a claim no
+// probe is due until the longer delay is over. row is the version of the rows that now count
+// the probes; 0: there are none.
 func (t *Tracker) ClaimProbes(probes []Probe, row int64, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/poison/request.go
+++ b/poison/request.go
@@ -34,8 +34,8 @@
 		ID          string // cut to maxPartID bytes
 	}
 
-	// partRun identifies the runs in which a part shows whether it crashes targets: those
-	// at targets of one service and version.
+	// partRun identifies the runs in which a request or part shows whether it crashes
+	// targets: those at targets of one service and version.
 	partRun struct {
 		part             Fingerprint
 		service, version string
--- a/poison/rows.go
+++ b/poison/rows.go
@@ -85,8 +85,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []SoundRun
+	boots := 0
 	for _, r := range t.soundLog.since(n) {
 		r.Age = now.Sub(r.at)
+		boots += len(r.Boots)
+		if boots > maxReportedBoots {
+			r.Boots = nil
+		}
 		out = append(out, r.SoundRun)
 	}
 	return out, t.soundLog.total
--- a/poison/sound.go
+++ b/poison/sound.go
@@ -8,8 +8,12 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-// maxClearedBoots bounds the targets that a report of a sound run names.
-const maxClearedBoots = 32
+const (
+	// maxClearedBoots bounds the targets that a report of a sound run names, and
+	// maxReportedBoots those that all runs of one view name.
+	maxClearedBoots  = 32
+	maxReportedBoots = 512
+)
 
 type (
 	// SoundRun reports that a prompt with a part, or a whole request, ran well at a target of
@@ -19,7 +23,8 @@
 		Service string
 		Version string        // of the target's software; empty: all versions
 		Age     time.Duration // time since the run
-		// Boots are targets that had crashed before the run, as far as they count.
+		// Boots are some of the targets whose crashes came before the run. Their reports may
+		// come later.
 		Boots []ragworthitch.Boot
 	}
 
@@ -114,7 +119,7 @@
 		return
 	}
 	r := t.releaseOf(run.Part, now)
-	for _, boot := range run.Boots {
+	for _, boot := range run.Boots[:min(len(run.Boots), maxClearedBoots)] {
 		r.boots[boot] = true
 	}
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -73,7 +73,7 @@
 		crashes         map[ragworthitch.Boot]*crashRecord
 		quarantined     bool
 		contested       bool  // other requests had just begun at targets that crashed
-		threshold       int   // crashes that quarantine the request, at the last evaluation
+		threshold       int   // crashes that quarantine the suspect, at the last evaluation
 		probes          int   // since the quarantine
 		probeRowVersion int64 // of the store's row that counts the probes; 0: no row
 		updatedAt       clock.Time
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -22,10 +22,10 @@
 	// damage of a caller that sends thousands of different poison requests, each of
 	// which otherwise costs minCrashThreshold targets.
 	strictOrgQuarantines = 16
-	// settleTime is the least time between the first and the last crash of a suspect that
-	// has run well lately, for them to count. In between, a sound one runs well again, if
-	// any target is left to run it.
-	settleTime = 2 * time.Second
+	// minCrashPeriod is the least time from the first to the last crash under a suspect that
+	// has run well lately, for its crashes to count. A sound suspect runs well again within
+	// that time, if any target is left.
+	minCrashPeriod = 2 * time.Second
 	// reportTime is the time within which all instances know of a crash, and of which
 	// requests its target had begun.
 	reportTime = 100 * time.Millisecond
@@ -99,7 +99,8 @@
 	return ranked
 }
 
-// ranWell returns the crashes before which prompts with the part had run well.
+// ranWell returns the crashes before which the request, or prompts with the part, had run
+// well.
 func (s countedSuspect) ranWell() []*crashRecord {
 	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return !c.SoundBefore })
 }
@@ -243,10 +244,10 @@
 
 // countedCrashes returns the crashes that count against a suspect: those of targets
 // that were lost alone, and those of targets that were lost with others if several of
-// them were running attempts of it. A zone outage usually hits a single attempt. Suspects
-// that have run well lately are given time.
+// them were running attempts of the suspect. A zone outage usually hits a single attempt.
+// None counts against a suspect that has run well lately until minCrashPeriod has passed.
 func (s *suspect) countedCrashes(now clock.Time) []*crashRecord {
-	if s.ranWellLately() && s.crashPeriod() < settleTime {
+	if s.ranWellLately() && s.crashPeriod() < minCrashPeriod {
 		return nil
 	}
 	var out []*crashRecord
--- a/rehearse/bounds.go
+++ b/rehearse/bounds.go
@@ -25,6 +25,8 @@
 		WorstAt time.Duration // the end of the window with the largest use
 		Most    int           // requests or retries in that window
 		Allowed float64
+		// Detail says what was counted, of a bound without windows.
+		Detail string
 	}
 
 	// boundKind is a bound with its decision package, its rule and the limits to draw.
@@ -61,6 +63,9 @@
 func (o Outcome) Broken() bool { return o.Worst > 1 }
 
 func (o Outcome) String() string {
+	if o.Detail != "" {
+		return o.Detail
+	}
 	return fmt.Sprintf("%d where %.1f are allowed, in the window that ends at %v", o.Most, o.Allowed, o.WorstAt)
 }
 
--- a/rehearse/fleet.go
+++ b/rehearse/fleet.go
@@ -22,9 +22,11 @@
 	contactTime = 3 * time.Second
 	// loanReplyLost is how often the reply to a loan is lost: once in so many.
 	loanReplyLost = 10
+	// burstInterval is the time between two bursts, fewCalls the rate of CallsFew in calls a
+	// second, and callsAtOne the calls in each step of CallsAtOne.
 	burstInterval = 2500 * time.Millisecond
-	// fewCalls is the rate of CallsFew, in calls a second.
-	fewCalls = 10
+	fewCalls      = 10
+	callsAtOne    = 3
 	// startSpread is the time in which instances start that start together.
 	startSpread = time.Second
 )
@@ -37,10 +39,11 @@
 		rng         *rand.Rand
 		now         time.Duration
 		instances   []*fleetInstance
+		used        int            // instances that have been started, or are about to be
 		storeFaults int            // in force
-		storeOkAt   time.Duration  // when the store was last away
+		storeOkAt   time.Duration  // end of the last fault of the store
 		news        map[int][]news // by the number of the step
-		ends        []func()       // of the faults that end, by time
+		ends        []func()       // what happens at endTimes
 		endTimes    []time.Duration
 		start       func(*fleet, *fleetInstance) // makes the state that the bound keeps at an instance
 	}
@@ -53,9 +56,9 @@
 		freezes  int           // in force
 		cuts     int           // in force
 		gone     bool          // for good
-		okAt     time.Duration // when it was last frozen or cut off
+		okAt     time.Duration // end of the last freeze or cut
 		listed   bool          // has an entry in the store
-		lostAt   time.Duration // when its entry was last renewed, if that has stopped
+		lostAt   time.Duration // when it stopped to renew its entry; 0: it renews it
 		version  int32         // of its entry
 		knows    []bool        // which others it lists
 		versions []int32       // of the entries that it has read
@@ -77,7 +80,7 @@
 )
 
 func newFleet(p Plan, start func(*fleet, *fleetInstance)) *fleet {
-	f := &fleet{plan: p, rng: rand.New(rand.NewPCG(p.Seed, 13)), news: map[int][]news{}, start: start, storeOkAt: -contactTime}
+	f := &fleet{plan: p, rng: rand.New(rand.NewPCG(p.Seed, 13)), news: map[int][]news{}, start: start, used: p.Instances, storeOkAt: -contactTime}
 	total := p.total()
 	for i := range total {
 		in := &fleetInstance{index: i, name: fmt.Sprint("front-", i), knows: make([]bool, total), versions: make([]int32, total), okAt: -contactTime}
@@ -141,8 +144,8 @@
 	return in.up && in.freezes == 0 && in.cuts == 0 && f.storeFaults == 0
 }
 
-// inTouch reports whether the bound holds for what an instance does now. A start is no
-// reason that it doesn't.
+// inTouch reports whether the bound holds for what an instance does now. It holds for
+// instances that have just started.
 func (f *fleet) inTouch(in *fleetInstance) bool {
 	return f.reaches(in) && f.now-in.okAt >= contactTime && f.now-f.storeOkAt >= contactTime
 }
@@ -251,13 +254,9 @@
 
 // add starts instances that have not run before.
 func (f *fleet) add(fault Fault) {
-	used := 0
-	for _, in := range f.instances {
-		if in.up || in.gone || in.list.Version > 0 {
-			used++
-		}
-	}
-	for _, in := range f.instances[used:min(len(f.instances), used+fault.count(used))] {
+	first := f.used
+	f.used += fault.count(first)
+	for _, in := range f.instances[first:f.used] {
 		f.endAt(f.now+f.startDelay(), func() { f.enter(in) })
 	}
 }
@@ -327,7 +326,7 @@
 		}
 	case CallsAtOne:
 		if in.index == 0 {
-			return 3
+			return callsAtOne
 		}
 	case CallsFew:
 		if f.rng.Float64() < fewCalls*boundStep.Seconds()/float64(len(f.instances)) {
--- a/rehearse/plan.go
+++ b/rehearse/plan.go
@@ -41,7 +41,11 @@
 	restartGap = 12 * time.Second
 	// recoveryTime is the time without faults at the end.
 	recoveryTime = 8 * time.Second
-	maxFaults    = 4
+	// maxDrawnFaults bounds the faults of a drawn plan, and maxFaults those of any plan.
+	maxDrawnFaults = 4
+	maxFaults      = 100
+	maxLimit       = 1_000_000
+	maxTimeMs      = 600_000 // of a fault, of news and of the error of a clock
 )
 
 // ErrPlan is wrapped by the errors of plans.
@@ -92,7 +96,7 @@
 	p := Plan{Bound: bound, Seed: seed, Instances: instances, Seconds: 30 + float64(rng.IntN(30)), Limit: b.limits[rng.IntN(len(b.limits))],
 		Calls: callKinds[rng.IntN(len(callKinds))], HeardMs: []int{50, 300, 1000, 3000}[rng.IntN(4)], ClockErrorMs: []int{0, 0, 100, 2000}[rng.IntN(4)]}
 	lastRestart := -restartGap
-	for range rng.IntN(maxFaults + 1) {
+	for range rng.IntN(maxDrawnFaults + 1) {
 		f := drawFault(rng, p)
 		if f.Kind == FaultRestart {
 			if f.at() < lastRestart+restartGap {
@@ -159,12 +163,16 @@
 		return fmt.Errorf("%w: instances: %d, with those added %d, must be 1 to %d", ErrPlan, p.Instances, p.total(), MaxInstances)
 	case !(p.Seconds >= minPlanTime.Seconds() && p.Seconds <= maxPlanTime.Seconds()):
 		return fmt.Errorf("%w: seconds: %v must be %v to %v", ErrPlan, p.Seconds, minPlanTime.Seconds(), maxPlanTime.Seconds())
-	case !(p.Limit > 0 && p.Limit <= 1e6):
-		return fmt.Errorf("%w: limit: %v must be above 0 and at most a million", ErrPlan, p.Limit)
+	case !(p.Limit > 0 && p.Limit <= maxLimit):
+		return fmt.Errorf("%w: limit: %v must be above 0 and at most %d", ErrPlan, p.Limit, maxLimit)
 	case !slices.Contains(callKinds, p.Calls):
 		return fmt.Errorf("%w: calls: %q is none of %s", ErrPlan, p.Calls, strings.Join(callKinds, ", "))
-	case p.HeardMs < 0 || p.ClockErrorMs < 0:
-		return fmt.Errorf("%w: heardMs and clockErrorMs must not be negative", ErrPlan)
+	case p.HeardMs < 0 || p.HeardMs > maxTimeMs:
+		return fmt.Errorf("%w: heardMs: %d must be 0 to %d", ErrPlan, p.HeardMs, maxTimeMs)
+	case p.ClockErrorMs < 0 || p.ClockErrorMs > maxTimeMs:
+		return fmt.Errorf("%w: clockErrorMs: %d must be 0 to %d", ErrPlan, p.ClockErrorMs, maxTimeMs)
+	case len(p.Faults) > maxFaults:
+		return fmt.Errorf("%w: faults: %d, at most %d", ErrPlan, len(p.Faults), maxFaults)
 	}
 	for i, f := range p.Faults {
 		if err := f.check(p); err != nil {
@@ -180,8 +188,8 @@
 		return fmt.Errorf("kind: %q is none of %s", f.Kind, strings.Join(faultKinds, ", "))
 	case f.AtMs < 0 || f.at() > p.length():
 		return fmt.Errorf("atMs: %d is not within the plan", f.AtMs)
-	case f.ForMs < 0:
-		return fmt.Errorf("forMs: %d is negative", f.ForMs)
+	case f.ForMs < 0 || f.ForMs > maxTimeMs:
+		return fmt.Errorf("forMs: %d must be 0 to %d", f.ForMs, maxTimeMs)
 	case !(f.Share >= 0 && f.Share <= 1):
 		return fmt.Errorf("share: %v must be 0 to 1", f.Share)
 	}
@@ -190,11 +198,12 @@
 
 func (p Plan) length() time.Duration { return time.Duration(p.Seconds * float64(time.Second)) }
 
-// total returns the number of instances with those that the plan adds.
+// total returns the number of instances with those that the plan adds, as far as it is known
+// to be above MaxInstances.
 func (p Plan) total() int {
 	n := p.Instances
 	for _, f := range p.Faults {
-		if f.Kind == FaultAdd {
+		if f.Kind == FaultAdd && n <= MaxInstances {
 			n += f.count(n)
 		}
 	}
--- a/rehearse/quarantine.go
+++ b/rehearse/quarantine.go
@@ -103,10 +103,12 @@
 }
 
 func (q *quarantine) outcome() Outcome {
-	o := Outcome{Plan: q.plan, Most: q.late, Allowed: arrivalsAllowed, WorstAt: q.now, Worst: float64(q.late) / arrivalsAllowed}
+	o := Outcome{Plan: q.plan, Most: q.late, Allowed: arrivalsAllowed, Worst: float64(q.late) / arrivalsAllowed}
+	o.Detail = fmt.Sprintf("%d late requests where %d are allowed; %d of %d sound calls began at once, %d of %d before the first crash",
+		q.late, arrivalsAllowed, q.begun[1], q.sent[1], q.begun[0], q.sent[0])
 	if q.sent[0] >= begunSample && q.sent[1] >= begunSample {
-		before, later := float64(q.begun[0])/float64(q.sent[0]), float64(q.begun[1])/float64(q.sent[1])
-		o.Worst = max(o.Worst, begunShare*before/max(later, 1e-9))
+		before, later := float64(q.begun[0])/float64(q.sent[0]), float64(max(q.begun[1], 1))/float64(q.sent[1])
+		o.Worst = max(o.Worst, begunShare*before/later)
 	}
 	return o
 }
--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -28,7 +28,7 @@
     "no end in time": ("FINAL", "ingress/handler.go", "	ctx, cancel := context.WithTimeout(ctx, limit)", "	ctx, cancel := context.WithTimeout(ctx, limit+time.Minute)"),
     "the verdict is forgotten at a restart": ("DEADLY", "instance/crashes.go", "	err := platform.CrashWriter{Store: i.store}.Apply(writeCtx, edits[:n])", "	err := writeCtx.Err()"),
     "a bystander is condemned": ("BYSTANDER", "poison/verdict.go", "		quarantine := !t.DryRun && s.attributed(explanations, now) >= threshold && !t.mostlySucceeds(s, now)", "		quarantine := s.attributed(explanations, now) > 0",
-        "poison/verdict.go", "	if s.ranWellLately() && s.crashPeriod() < settleTime {", "	if false {"),
+        "poison/verdict.go", "	if s.ranWellLately() && s.crashPeriod() < minCrashPeriod {", "	if false {"),
     "crashes count for each request only": ("DEADLY", "poison/tracker.go", "	for _, p := range r.Parts {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID", "	for _, p := range r.Parts[:0] {\n		c.Fingerprint, c.Part = p.Fingerprint, p.ID"),
     "a sound part is stopped": ("BACK", "poison/sound.go", "		if s == nil {\n			continue\n		}\n", "		if s != nil || s == nil {\n			continue\n		}\n",
         "poison/tracker.go", "	c.SoundBefore = c.SoundBefore || soundAt != 0 || c.RecentSuccesses > 0", "	c.SoundBefore = false", "poison/tracker.go", "	if soundAt > at {", "	if false && soundAt > at {"),
