--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+const (
+	service      = "desk-app"
+	consumerTime = 1500 * time.Millisecond
+	configBound  = 2 * time.Second // config_ms
+	revokeBound  = 5 * time.Second // revoke_ms
+	boundMargin  = time.Second
+)
+
+func init() {
+	cases["revoke"] = revokeLastTenant
+	cases["path"] = catchAllRoute
+	cases["leaving"] = leavingServer
+}
+
+// state returns a desired state with the given routes and tenants.
+func state(version int, routes, tenants []map[string]any) map[string]any {
+	return map[string]any{"version": version, "routes": routes, "tenants": tenants,
+		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+}
+
+func route(name, prefix, kind string, timeout time.Duration) map[string]any {
+	return map[string]any{"name": name, "host": "desk.example", "prefix": prefix, "kind": kind, "timeout_ms": timeout.Milliseconds(),
+		"latency_target_ms": 150, "priority": 2, "service": service, "max_attempts": 1, "public": false, "sticky": false, "resumable": false}
+}
+
+func tenant(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "api_keys": keys, "priority": 1}
+}
+
+// revokeLastTenant takes the keys of the only tenant away, with the tenant.
+func revokeLastTenant(r *rig, trouble bool) error {
+	routes := []map[string]any{route("quote", "/quote/", "unsafe", 800*time.Millisecond)}
+	if _, err := r.configure(state(7, routes, []map[string]any{tenant("huka270", "k1k1k1k1k1k1k1k1k1k1")})); err != nil {
+		return err
+	}
+	for _, id := range []string{"i-1", "i-2"} {
+		if _, err := r.startServer(id, service); err != nil {
+			return err
+		}
+	}
+	if err := r.startEntries(2); err != nil {
+		return err
+	}
+	if a := r.send(r.entries[0], request{id: "before", method: "POST", target: "/quote/1", key: "k1k1k1k1k1k1k1k1k1k1", timeout: consumerTime}); a.status != 200 {
+		return fmt.Errorf("the request before the change is not served: %v", a)
+	}
+	if trouble {
+		if _, err := r.configure(state(9, routes, []map[string]any{})); err != nil {
+			return err
+		}
+	}
+	time.Sleep(revokeBound + boundMargin)
+	broken := 0
+	for i, e := range r.entries {
+		for j, key := range []string{"k1k1k1k1k1k1k1k1k1k1", "never0held0never0held"} {
+			id := fmt.Sprintf("after-%d-%d", i, j)
+			r.send(e, request{id: id, method: "POST", target: "/quote/2", key: key, timeout: consumerTime})
+			if (trouble || j > 0) && len(r.ranWith(id)) > 0 {
+				broken++
+			}
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w: %d requests ran with a key that was taken away over %v ago, or that was never held", errBroken, broken, revokeBound)
+	}
+	return nil
+}
+
+// catchAllRoute adds a route for all paths of the host.
+func catchAllRoute(r *rig, trouble bool) error {
+	routes := []map[string]any{route("quote", "/quote/", "safe", 800*time.Millisecond)}
+	tenants := []map[string]any{tenant("huka270", "k1k1k1k1k1k1k1k1k1k1")}
+	if _, err := r.configure(state(7, routes, tenants)); err != nil {
+		return err
+	}
+	if _, err := r.startServer("i-1", service); err != nil {
+		return err
+	}
+	if err := r.startEntries(1); err != nil {
+		return err
+	}
+	if trouble {
+		if _, err := r.configure(state(9, append(routes, route("all", "/", "safe", 800*time.Millisecond)), tenants)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(configBound + boundMargin)
+	for i, target := range []string{"/quote/1", "//parts/7?drill=4", "//quote/1"} {
+		id := fmt.Sprintf("after-%d", i)
+		r.send(r.entries[0], request{id: id, method: "GET", target: target, key: "k1k1k1k1k1k1k1k1k1k1", timeout: consumerTime})
+		for _, run := range r.ranWith(id) {
+			if sent := "GET " + target + " HTTP/1.1"; run.Line != sent {
+				return fmt.Errorf("%w: the consumer sent %q and the server ran %q", errBroken, sent, run.Line)
+			}
+		}
+	}
+	return nil
+}
+
+// leavingServer lets a server leave as planned while it sends a long answer without a length.
+func leavingServer(r *rig, trouble bool) error {
+	const answerBytes, timeout = 64000, 8 * time.Second
+	routes := []map[string]any{route("report", "/report/", "safe", timeout)}
+	tenants := []map[string]any{tenant("huka270", "k1k1k1k1k1k1k1k1k1k1")}
+	if _, err := r.configure(state(7, routes, tenants)); err != nil {
+		return err
+	}
+	p, err := r.startServer("i-1", service, "-size", fmt.Sprint(answerBytes), "-parts", "8", "-gap", "500ms", "-unframed")
+	if err != nil {
+		return err
+	}
+	if err := r.startEntries(1); err != nil {
+		return err
+	}
+	if trouble {
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			p.stop(syscall.SIGTERM)
+		}()
+	}
+	a := r.send(r.entries[0], request{id: "report", method: "GET", target: "/report/1", key: "k1k1k1k1k1k1k1k1k1k1", timeout: timeout})
+	if a.status == 200 && a.complete && a.body != answerBytes {
+		return fmt.Errorf("%w: the answer looks complete with %d of %d bytes", errBroken, a.body, answerBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,62 @@
+// Command rig runs the scripted cases of the review: it starts the project's programs as
+// separate processes on loopback addresses, plays the platform's operator, the servers and the
+// consumers, and checks one rule.
+//
+//	rig case NAME FOLDER    runs a case, writes FOLDER/record.txt and exits with 0, 1 or 2
+//	rig server FLAGS        one server, in a process of its own
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// errBroken means that the rule was broken.
+var errBroken = errors.New("rule broken")
+
+// cases are the cases by name. With trouble false a case runs without its disruption.
+var cases = map[string]func(r *rig, trouble bool) error{}
+
+func main() {
+	if len(os.Args) > 2 && os.Args[1] == "server" {
+		if err := runServer(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "server:", err)
+			os.Exit(exitNotRun)
+		}
+		return
+	}
+	if len(os.Args) != 4 || os.Args[1] != "case" || cases[os.Args[2]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig case NAME FOLDER | rig server FLAGS")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(runCase(os.Args[2], os.Args[3]))
+}
+
+// runCase runs a case and returns the exit code.
+func runCase(name, folder string) int {
+	r, err := newRig(folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rig:", err)
+		return exitNotRun
+	}
+	defer r.close()
+	err = cases[name](r, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err == nil:
+		r.recordf("result: the rule held")
+		return exitHeld
+	case errors.Is(err, errBroken):
+		r.recordf("result: %v", err)
+		return exitBroken
+	}
+	r.recordf("result: the case could not run: %v", err)
+	return exitNotRun
+}
