--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -12,6 +12,7 @@
 	configBound  = 2 * time.Second // config_ms
 	revokeBound  = 5 * time.Second // revoke_ms
 	boundMargin  = time.Second
+	contactTime  = 3500 * time.Millisecond // over contact_ms
 
 	heldKey  = "k1k1k1k1k1k1k1k1k1k1"
 	otherKey = "never0held0never0held" // in no desired state
