--- a/review/rig/rollout.go
+++ b/review/rig/rollout.go
@@ -126,7 +126,8 @@
 				if rand.IntN(badEvery) == 0 {
 					target = badPrefix + "1"
 				}
-				e.exchange(request{id: fmt.Sprintf("s-%d-%d", i, n), method: "GET", target: target, key: heldKey, timeout: consumerTime})
+				q := request{id: fmt.Sprintf("s-%d-%d", i, n), method: "GET", target: target, key: heldKey, timeout: consumerTime}
+				r.recordf("consumer gets for request %s, %s %s: %s", q.id, q.method, q.target, e.exchange(q))
 			}
 		}()
 	}
