--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -17,6 +17,7 @@
 	heldKey  = "k1k1k1k1k1k1k1k1k1k1"
 	otherKey = "never0held0never0held" // in no desired state
 
+	reportServers = 7
 	reportBytes   = 120_000
 	reportTimeout = 9 * time.Second
 	darkTime      = 4500 * time.Millisecond
@@ -123,15 +124,26 @@
 }
 
 // brokenAnswer ends a server's process while it sends a long answer without a length, in two
-// ways: it leaves as planned, or it goes dark until its entry is removed and then crashes.
+// ways: it leaves as planned, or it goes dark until its entry is removed and then crashes. Each
+// time the service has five other servers, which stay as they are.
 func brokenAnswer(r *rig, trouble bool) error {
 	routes := []map[string]any{route("report", "/report/", "safe", reportTimeout)}
 	if _, err := r.configure(state(7, routes, []map[string]any{tenant("huka270", heldKey)})); err != nil {
 		return err
 	}
+	servers := map[string]*proc{}
+	for i := range reportServers {
+		id := fmt.Sprint("i-", i)
+		p, err := r.startServer(id, service, "-size", fmt.Sprint(reportBytes), "-parts", "12", "-gap", "500ms", "-unframed")
+		if err != nil {
+			return err
+		}
+		servers[id] = p
+	}
 	if err := r.startEntries(1); err != nil {
 		return err
 	}
+	time.Sleep(configBound) // until the entry instance knows all servers
 	leave := func(p *proc) { r.signal(p, syscall.SIGTERM) }
 	goDark := func(p *proc) {
 		r.signal(p, syscall.SIGSTOP)
@@ -140,30 +152,23 @@
 	}
 	broken := 0
 	for i, end := range []func(*proc){leave, goDark} {
-		server := fmt.Sprint("i-", i+1)
-		p, err := r.startServer(server, service, "-size", fmt.Sprint(reportBytes), "-parts", "12", "-gap", "500ms", "-unframed")
-		if err != nil {
-			return err
-		}
-		time.Sleep(configBound) // until the entry instance knows the server
+		id := fmt.Sprint("report-", i)
 		if trouble {
 			go func() {
-				time.Sleep(300 * time.Millisecond)
-				end(p)
+				if r.await("the run", func() bool { return len(r.ranWith(id)) > 0 }) == nil {
+					end(servers[r.ranWith(id)[0].Server])
+				}
 			}()
 		}
-		a := r.send(r.entries[0], request{id: "report-" + server, method: "GET", target: "/report/1", key: heldKey, timeout: reportTimeout})
+		a := r.send(r.entries[0], request{id: id, method: "GET", target: "/report/1", key: heldKey, timeout: reportTimeout})
 		if a.status == 200 && a.complete && a.body != reportBytes {
-			r.recordf("the answer of %s looks complete with %d of %d bytes", server, a.body, reportBytes)
+			r.recordf("the answer to %s looks complete with %d of %d bytes", id, a.body, reportBytes)
 			broken++
 		}
 		if !trouble && (a.status != 200 || a.body != reportBytes) {
 			return fmt.Errorf("an answer without disruption is not whole: %v", a)
 		}
-		if !trouble {
-			r.signal(p, syscall.SIGTERM)
-		}
-		<-p.done
+		time.Sleep(configBound)
 	}
 	if broken > 0 {
 		return fmt.Errorf("%w: %d of 2 answers that broke off look complete", errBroken, broken)
