--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -27,6 +27,7 @@
 // request is a consumer's request, sent on a channel of its own.
 type request struct {
 	id, method, target, key string
+	header                  string // further lines
 	timeout                 time.Duration
 }
 
@@ -51,8 +52,8 @@
 	if q.key != "" {
 		key = "Ragworthitch-Key: " + q.key + "\r\n"
 	}
-	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: desk.example\r\nRagworthitch-Request-Id: %s\r\nRagworthitch-Deadline-Ms: %d\r\n%s\r\n",
-		q.method, q.target, q.id, q.timeout.Milliseconds(), key)
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: desk.example\r\nRagworthitch-Request-Id: %s\r\nRagworthitch-Deadline-Ms: %d\r\n%s%s\r\n",
+		q.method, q.target, q.id, q.timeout.Milliseconds(), key, q.header)
 	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: q.method})
 	if err != nil {
 		return answer{err: err}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -45,8 +45,9 @@
 
 	// entry is an entry instance.
 	entry struct {
-		front, ready string // addresses
-		proc         *proc
+		name, settings string // settings: file
+		front, ready   string // addresses
+		proc           *proc
 	}
 
 	// proc is a process that the rig started.
@@ -275,18 +276,15 @@
 // startEntries starts n entry instances and waits until they are ready.
 func (r *rig) startEntries(n int) error {
 	for i := range n {
-		e := &entry{front: freeAddr(), ready: freeAddr()}
+		e := &entry{name: fmt.Sprintf("entry-%d", i), front: freeAddr(), ready: freeAddr(), settings: filepath.Join(r.tmp, fmt.Sprintf("settings-%d.toml", i))}
 		port := freePort()
-		file := filepath.Join(r.tmp, fmt.Sprintf("settings-%d.toml", i))
-		if err := os.WriteFile(file, fmt.Appendf(nil, settings, i, port, port, e.front, e.ready, r.store), 0o600); err != nil {
+		if err := os.WriteFile(e.settings, fmt.Appendf(nil, settings, i, port, port, e.front, e.ready, r.store), 0o600); err != nil {
 			return err
 		}
-		p, err := r.run(fmt.Sprintf("entry-%d", i), []string{"RAGWORTHITCH_BOOT=" + file}, program, "serve")
-		if err != nil {
+		r.entries = append(r.entries, e)
+		if err := r.startEntry(e); err != nil {
 			return err
 		}
-		e.proc = p
-		r.entries = append(r.entries, e)
 	}
 	for _, e := range r.entries {
 		if err := r.await("readiness", e.isReady); err != nil {
@@ -297,6 +295,12 @@
 	return nil
 }
 
+// startEntry starts the process of an entry instance.
+func (r *rig) startEntry(e *entry) (err error) {
+	e.proc, err = r.run(e.name, []string{"RAGWORTHITCH_BOOT=" + e.settings}, program, "serve")
+	return err
+}
+
 func (e *entry) isReady() bool {
 	resp, err := http.Get("http://" + e.ready + "/v1/ready")
 	if err != nil {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -33,6 +33,8 @@
 	version                    string
 	badPrefix                  string        // of the paths on which answers are failures; empty: none
 	work                       time.Duration // before an answer
+	prefill                    time.Duration // of a stream, before its first event
+	events                     int           // of a stream; 0: answers are no streams
 	sequence                   atomic.Int64
 	draining                   atomic.Bool
 }
@@ -51,6 +53,8 @@
 	f.StringVar(&s.version, "version", "v1", "version of the software")
 	f.StringVar(&s.badPrefix, "bad", "", "prefix of the paths on which answers are failures")
 	f.DurationVar(&s.work, "work", 0, "time before an answer")
+	f.DurationVar(&s.prefill, "prefill", 0, "time before the first event of a stream")
+	f.IntVar(&s.events, "events", 0, "events of a stream; 0: answers are no streams")
 	f.BoolVar(&s.unframed, "unframed", false, "answers without a length")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -155,6 +159,9 @@
 		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\nRagworthitch-Request-Id: %s\r\nRagworthitch-Server-Stamp: %s\r\nContent-Length: 0\r\n\r\n", id, stamp)
 		return err == nil
 	}
+	if s.events > 0 {
+		return s.stream(c, id)
+	}
 	head := fmt.Sprintf("Content-Length: %d\r\n", s.size)
 	if s.unframed {
 		head = "Connection: close\r\n"
@@ -171,3 +178,18 @@
 	}
 	return !s.unframed
 }
+
+// stream answers with events, in chunks, and reports whether the channel stays open.
+func (s *server) stream(c net.Conn, id string) bool {
+	time.Sleep(s.prefill)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRagworthitch-Request-Id: %s\r\nRagworthitch-Server-Stamp: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, stamp)
+	for i := range s.events {
+		time.Sleep(s.gap)
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, strings.Repeat("a", 60))
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
