--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -12,6 +12,7 @@
 	configBound  = 2 * time.Second // config_ms
 	revokeBound  = 5 * time.Second // revoke_ms
 	boundMargin  = time.Second
+	reportDelay  = 200 * time.Millisecond  // until the rig has read what a server ran
 	contactTime  = 3500 * time.Millisecond // over contact_ms
 
 	heldKey  = "k1k1k1k1k1k1k1k1k1k1"
@@ -81,6 +82,7 @@
 		for j, key := range []string{heldKey, otherKey} {
 			id := fmt.Sprintf("after-%d-%d", i, j)
 			r.send(e, request{id: id, method: "POST", target: "/quote/2", key: key, timeout: consumerTime})
+			time.Sleep(reportDelay)
 			if (trouble || j > 0) && len(r.ranWith(id)) > 0 {
 				broken++
 			}
@@ -114,6 +116,7 @@
 	for i, target := range []string{"/quote/1", "//parts/7?drill=4", "//quote/1"} {
 		id := fmt.Sprintf("after-%d", i)
 		r.send(r.entries[0], request{id: id, method: "GET", target: target, key: heldKey, timeout: consumerTime})
+		time.Sleep(reportDelay)
 		for _, run := range r.ranWith(id) {
 			if sent := "GET " + target + " HTTP/1.1"; run.Line != sent {
 				return fmt.Errorf("%w: the consumer sent %q and the server ran %q", errBroken, sent, run.Line)
