ingress: answered calls say which version they went to, and why

Three guesses fit what callers saw: the version counts as the old one once another is ordered; it gets calls only as a spare, because no other target takes them; it gets canary calls. The logs could not tell them apart: "ingress: answered" names the target only, and the counts of the rollout lines come at changes of the status.

The line now has the target's version, its use (selected, spare, never), the new version, the state of the roll-out and whether the call is a canary call, while versions of the service are told apart.

--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -351,9 +351,11 @@
 // recordAnswer counts and logs a call that a target answered.
 func (c *activeCall) recordAnswer(m *registry.Member, status int) {
 	c.h.stats.answered.Inc(1)
+	now := clock.Now()
 	c.h.log.Info().Str("request", c.call.ID).Str("route", c.grant.Route.Name()).Str("kind", c.grant.Route.Kind().String()).
 		Str("org", c.grant.Org).Int64("version", c.grant.Version).Dur("proofAge", c.grant.Age).Str("target", m.Target().ID()).
-		Int("sends", c.attempts).Int("status", status).Dur("after", clock.Now().Sub(c.call.Received)).Msg("ingress: answered")
+		Func(c.placementFields(m, now)).
+		Int("sends", c.attempts).Int("status", status).Dur("after", now.Sub(c.call.Received)).Msg("ingress: answered")
 }
 
 // logFailure logs a call that failed or was rejected.
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/rollout"
@@ -31,6 +33,19 @@
 	return c.h.rollouts.Place(c.service(), c.role, now)
 }
 
+// placementFields returns a function that adds to a log line what a roll-out says at the
+// moment about the version of a target. It adds nothing while no version is restricted.
+func (c *activeCall) placementFields(m *registry.Member, now clock.Time) func(*zerolog.Event) {
+	return func(e *zerolog.Event) {
+		p := c.placement(now)
+		if !p.IsRestricted() {
+			return
+		}
+		version := m.Target().Version()
+		e.Str("targetVersion", version).Stringer("use", p.Use(version)).Str("newVersion", p.To()).Stringer("rollout", p.State()).Bool("canary", p.IsCanary())
+	}
+}
+
 // pickByPlacement selects a target with pick among the targets of the version that the
 // placement selects or, if pick finds none there, among the targets that the placement
 // allows as spare.
--- a/rollout/placement.go
+++ b/rollout/placement.go
@@ -35,6 +35,10 @@
 	}
 )
 
+var useNames = [...]string{Never: "never", Spare: "spare", Selected: "selected"}
+
+func (u Use) String() string { return useNames[u] }
+
 // AssignRole decides whether a new call on a route becomes a canary call.
 func (t *Tracker) AssignRole(serviceName, route string) CallRole {
 	if !t.Active() {
@@ -129,6 +133,12 @@
 	return p.canary && p.state == Running
 }
 
+// To returns the new version; empty: none.
+func (p Placement) To() string { return p.to }
+
+// State returns the state of the roll-out.
+func (p Placement) State() State { return p.state }
+
 // Use says whether a target of the version may get the call.
 func (p Placement) Use(version string) Use {
 	isNew := version == p.to
