ingress: nothing goes round the rejection of a version

A stream that lost its engine resumed from its replica whatever had become of the replica's version: nextTarget takes the replica's engine without asking the placement (or, for a request that crashes one version only, which targets are safe). So a version that was rolled back after it was promoted still got the streams whose replicas it held. Besides, targets of a rejected version counted as available where a call waits for others: they ended the wait for a backoff or a test at once, hid from the caller that all others asked for a backoff (Retry-After 0.4 s instead of the time that is left), and doubled the room that a queue expects.

activeCall.excludes now answers for all of these whether the call must not be sent to a target.

Tests: TestNoResumeAtRejectedVersion (before: resumed at v2 from its replica) and TestBackoffBesideRejectedVersion (before: Retry-After of 0.404 s, 1 s asked for).

--- a/ingress/barred.go
+++ b/ingress/barred.go
@@ -42,7 +42,7 @@
 func (c *activeCall) barredTargets(now clock.Time) barredTargets {
 	var b barredTargets
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.targetFilter != nil && !c.targetFilter(m) {
+		if c.excludes(m, now) {
 			continue
 		}
 		err := m.Barred(now)
@@ -65,7 +65,7 @@
 	maxWait := time.Duration(barredWaitShare*float64(c.grant.Route.Objective())) - now.Sub(c.call.Received)
 	shortest := time.Duration(math.MaxInt64)
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.tried.has(m) || c.targetFilter != nil && !c.targetFilter(m) {
+		if c.tried.has(m) || c.excludes(m, now) {
 			continue
 		}
 		if m.AcceptsCalls(now) {
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -33,6 +33,12 @@
 	return c.h.rollouts.Place(c.service(), c.role, now)
 }
 
+// excludes reports whether the call must not be sent to a target, however well it is: the
+// request is quarantined there, or the target's version is rejected.
+func (c *activeCall) excludes(m *registry.Member, now clock.Time) bool {
+	return c.targetFilter != nil && !c.targetFilter(m) || c.placement(now).Use(m.Target().Version()) == rollout.Never
+}
+
 // placementFields returns a function that adds to a log line what a roll-out says at the
 // moment about the version of a target. It adds nothing while no version is restricted.
 func (c *activeCall) placementFields(m *registry.Member, now clock.Time) func(*zerolog.Event) {
--- a/ingress/canary_test.go
+++ b/ingress/canary_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/backoff"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/registry"
 	"github.com/ragworthitch/ragworthitch/rollout"
@@ -181,3 +184,25 @@
 		})
 	}
 }
+
+// Targets of a rejected version, which would take the call, do not hide from the caller that
+// the others ask for a backoff.
+func TestBackoffBesideRejectedVersion(t *testing.T) {
+	const wait = time.Second
+	bubble(t, "all other targets ask for a backoff", func(t *testing.T) {
+		s := &versionSender{lostVersion: "none", attempts: map[string]int{}}
+		h := versionHandler(t, s, rollout.RolledBack)
+		now := clock.Now()
+		for _, m := range h.targets.Service("llm") {
+			if m.Target().Version() != "v2" {
+				m.Backoff().Observe(backoff.Answer{Statement: backoff.Statement{Kind: backoff.Asked, Time: wait}, SentAt: now, ReceivedAt: now})
+			}
+		}
+		w, _ := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: now, Timeout: 20 * time.Second})
+		assert.Equal(t, http.StatusServiceUnavailable, w.Code)
+		assert.Zero(t, s.attempts["v2"])
+		retryAfter, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, retryAfter, wait.Seconds())
+	})
+}
--- a/ingress/refused.go
+++ b/ingress/refused.go
@@ -49,7 +49,7 @@
 	}
 	testing := false
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.tried.has(m) {
+		if c.tried.has(m) || c.excludes(m, now) {
 			continue
 		}
 		if m.AcceptsCalls(now) {
--- a/ingress/replica.go
+++ b/ingress/replica.go
@@ -35,13 +35,14 @@
 // the engine that was at the address when the attempt was sent, even if this instance
 // learned of that engine later. An engine that started later has no replica; if it reports
 // no start time, or the clocks differ, it rejects the attempt. A target of another service
-// that has taken over the address would run the call, so it is excluded.
+// that has taken over the address would run the call, so it is excluded, like one that the
+// call must not be sent to.
 func (s *stream) replicaTarget() *registry.Member {
 	if !s.replicaStarted || s.replica.addr == "" {
 		return nil
 	}
 	m := s.h.targets.ByAddress(s.replica.addr)
-	if m == nil || !slices.Contains(m.Target().Services(), s.service()) || m.Target().Boot().Started() > s.replica.requestedAt.UnixMilli() {
+	if m == nil || s.excludes(m, clock.Now()) || !slices.Contains(m.Target().Services(), s.service()) || m.Target().Boot().Started() > s.replica.requestedAt.UnixMilli() {
 		return nil
 	}
 	return m
--- a/ingress/replica_test.go
+++ b/ingress/replica_test.go
@@ -13,6 +13,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/rollout"
 )
 
 // replicaSender breaks the first attempt after an event, once another target has taken
@@ -113,3 +114,41 @@
 		assert.NotEmpty(t, third.ReplicateTo, "where all other zones were lost, one of them may be back")
 	}
 }
+
+// rollbackSender breaks the first attempt after an event, once the version that has the
+// replica is rolled back. It records the second attempt.
+type rollbackSender struct {
+	h             *Handler
+	secondAttempt *AttemptRequest
+}
+
+func (s *rollbackSender) Send(_ context.Context, r *AttemptRequest) (*Reply, error) {
+	if r.ResumeOffset != "" {
+		s.secondAttempt = r
+		return &Reply{Status: http.StatusOK, Delimited: true, Header: http.Header{}, Body: body("id: 2\ndata: b\n\n")}, nil
+	}
+	events := func(emit func(Event) bool) error {
+		emit(Event{Raw: []byte("id: 1\ndata: a\n\n"), ID: 1})
+		s.h.rollouts.Status(rollout.Status{Order: 4, Service: "llm", To: "v2", State: rollout.RolledBack, Row: 6})
+		return errBroken
+	}
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody, Events: events}, nil
+}
+
+// CheckConnection succeeds.
+func (*rollbackSender) CheckConnection(context.Context, *registry.Member) error { return nil }
+
+// A stream does not resume from a replica at a version that was rolled back in the meantime.
+func TestNoResumeAtRejectedVersion(t *testing.T) {
+	s := &rollbackSender{}
+	s.h = newTestHandler(t, s, ragworthitch.CallStream)
+	putVersion(s.h, "v2", 2)
+	s.h.rollouts.Order(rollout.Order{ID: 4, Service: "llm", To: "v2", Duration: time.Minute}, clock.Now())
+	s.h.rollouts.Status(rollout.Status{Order: 4, Service: "llm", To: "v2", State: rollout.Moving, Row: 5})
+	w, cut := serve(s.h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
+	require.False(t, cut)
+	assert.Equal(t, http.StatusOK, w.Code)
+	require.NotNil(t, s.secondAttempt)
+	assert.NotEqual(t, "v2", s.secondAttempt.Target.Version())
+	assert.Empty(t, s.secondAttempt.ReplicaAddress)
+}
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -286,7 +286,7 @@
 		return 0
 	}
 	for _, m := range s.h.targets.Service(s.service()) {
-		if m.AcceptsCalls(now) {
+		if m.AcceptsCalls(now) && !s.excludes(m, now) {
 			engines++
 		}
 	}
