desired: a list of organisations that has none left opens no route

Cause: whether calls need a key was worked out from the keys that there are (len(Organisations()) > 0), so the check went away with what it checks by. An empty list, null and no list at all were decoded alike, and a state with an empty list was encoded as null.

Hypotheses, told apart by the record and by the lines that were there: the state is refused and the old one stays in force (no: "desired: new state in force" has version 4 with 0 orgs, and a key that was never valid runs as well); grants are kept for a connection (no: both instances, new requests, and the calls bear no organisation); an empty list reads as no list (yes: the organisation is empty, and a state whose organisation stays with no keys gives 401).

Fix: the state says whether keys are required (DesiredState.KeysRequired), in one place that priorities ask, too. A key that is presented must be known in any state. The empty string is no key.

--- a/desired.go
+++ b/desired.go
@@ -107,11 +107,12 @@
 	// DesiredState is one version of the operator's configuration: routes,
 	// services, organisations and limits. It is immutable.
 	DesiredState struct {
-		version  int64
-		routes   []Route
-		services map[string]Service
-		orgs     []Organisation
-		limits   Limits
+		version      int64
+		routes       []Route
+		services     map[string]Service
+		orgs         []Organisation
+		keysRequired bool
+		limits       Limits
 	}
 
 	// DesiredParams are the fields of a DesiredState.
@@ -120,7 +121,10 @@
 		Routes   []Route
 		Services []Service
 		Orgs     []Organisation
-		Limits   Limits
+		// KeysRequired says that calls need a key although Orgs may be empty: then no key is
+		// valid. With organisations, calls always need one.
+		KeysRequired bool
+		Limits       Limits
 	}
 )
 
@@ -249,7 +253,7 @@
 // ErrBadDesired and name the invalid field.
 func NewDesiredState(p DesiredParams) (*DesiredState, error) {
 	d := &DesiredState{version: p.Version, routes: p.Routes, orgs: p.Orgs, limits: p.Limits,
-		services: make(map[string]Service, len(p.Services))}
+		keysRequired: p.KeysRequired || len(p.Orgs) > 0, services: make(map[string]Service, len(p.Services))}
 	if p.Version <= 0 {
 		return nil, fmt.Errorf("%w: version %d is not positive", ErrBadDesired, p.Version)
 	}
@@ -312,8 +316,11 @@
 	return services
 }
 
-// Organisations returns all organisations. Without any, calls need no key.
+// Organisations returns all organisations.
 func (d *DesiredState) Organisations() []Organisation { return d.orgs }
 
+// KeysRequired reports whether calls need a key, unless their route is public.
+func (d *DesiredState) KeysRequired() bool { return d.keysRequired }
+
 // Limits returns the limits on callers' requests and connections.
 func (d *DesiredState) Limits() Limits { return d.limits }
--- a/desired/table.go
+++ b/desired/table.go
@@ -13,14 +13,13 @@
 	state        *ragworthitch.DesiredState
 	routesByHost map[string][]*ragworthitch.Route // longest prefix first
 	orgsByKey    map[string]*ragworthitch.Organisation
-	keysRequired bool // calls need a key unless their route is public
 	// priorities holds those that streams to each service may have, the most urgent first.
 	priorities map[string][]ragworthitch.Priority
 }
 
 func newTable(d *ragworthitch.DesiredState) *table {
 	t := &table{state: d, routesByHost: map[string][]*ragworthitch.Route{},
-		orgsByKey: map[string]*ragworthitch.Organisation{}, keysRequired: len(d.Organisations()) > 0, priorities: streamPriorities(d)}
+		orgsByKey: map[string]*ragworthitch.Organisation{}, priorities: streamPriorities(d)}
 	routes := d.Routes()
 	for i := range routes {
 		r := &routes[i]
@@ -37,6 +36,7 @@
 			t.orgsByKey[k] = &orgs[i]
 		}
 	}
+	delete(t.orgsByKey, "") // stands for a call without a key
 	return t
 }
 
@@ -54,7 +54,7 @@
 			continue
 		}
 		for _, share := range r.Shares() {
-			if r.Public() || len(d.Organisations()) == 0 {
+			if r.Public() || !d.KeysRequired() {
 				add(share.Service, priorityOf(&r, nil))
 				continue
 			}
--- a/desired/tracker.go
+++ b/desired/tracker.go
@@ -130,7 +130,9 @@
 	return current != nil && current.isDifferentiated(service)
 }
 
-// Judge decides what a call to host and path with a key may do. point, in [0, 1),
+// Judge decides what a call to host and path with a key may do. A call without a key is
+// allowed only if its route is public or the state requires no keys; a key that belongs to no
+// organisation is never valid. point, in [0, 1),
 // picks the service of a split route. Errors: ErrStateUnknown, ErrNoRoute and
 // ErrNoKey. Version and Age of the grant are set unless no state was ever verified.
 func (t *Tracker) Judge(now clock.Time, host, path, key string, point float64) (Grant, error) {
@@ -146,7 +148,7 @@
 	}
 	g.Priority = g.Route.Priority()
 	priority := priorityOf(g.Route, nil)
-	if current.keysRequired && !g.Route.Public() {
+	if !g.Route.Public() && (key != "" || current.state.KeysRequired()) {
 		if age > t.ages.Key {
 			return g, ErrStateUnknown
 		}
--- a/desired/tracker_test.go
+++ b/desired/tracker_test.go
@@ -31,6 +31,8 @@
 		Version int64
 		Routes  []string          // HOST/PREFIX/
 		Keys    map[string]string // key to organisation
+		// KeysRequired says that calls need a key also without organisations.
+		KeysRequired bool `yaml:"keysRequired"`
 	}
 
 	judgeSpec struct {
@@ -41,7 +43,7 @@
 
 // state returns the desired state that s describes.
 func (s stateSpec) state(t testing.TB) *ragworthitch.DesiredState {
-	p := ragworthitch.DesiredParams{Version: s.Version, Services: []ragworthitch.Service{ragworthitch.NewService(ragworthitch.ServiceParams{Name: "s"})}}
+	p := ragworthitch.DesiredParams{Version: s.Version, KeysRequired: s.KeysRequired, Services: []ragworthitch.Service{ragworthitch.NewService(ragworthitch.ServiceParams{Name: "s"})}}
 	for _, r := range s.Routes {
 		host, prefix, _ := strings.Cut(r, "/")
 		p.Routes = append(p.Routes, ragworthitch.NewRoute(ragworthitch.RouteParams{Name: r, Host: host, Prefix: "/" + prefix,
@@ -91,8 +93,9 @@
 }
 
 // FuzzTracker runs random sequences of changes to the desired state, delayed reads and
-// calls. It guards against decisions by an older version than before, and against
-// accepting a key that was revoked longer ago than Ages.Key.
+// calls. It guards against decisions by an older version than before, against accepting a
+// key that was revoked longer ago than Ages.Key, and against accepting keys that never were
+// valid, and calls without one, as when the last key is revoked.
 func FuzzTracker(f *testing.F) {
 	for seed := range uint64(200) {
 		f.Add(seed)
@@ -127,7 +130,7 @@
 
 func newStoreModel(t testing.TB, rng *rand.Rand) *storeModel {
 	return &storeModel{t: t, rng: rng, tracker: NewTracker(testAges), now: at(1), revokedAt: map[string]clock.Time{},
-		state: stateSpec{Version: 1, Routes: []string{"a.example/x/"}, Keys: map[string]string{"k0": "o0", "k1": "o1", "k2": "o2"}}}
+		state: stateSpec{Version: 1, KeysRequired: true, Routes: []string{"a.example/x/"}, Keys: map[string]string{"k0": "o0", "k1": "o1", "k2": "o2"}}}
 }
 
 func (m *storeModel) step() {
@@ -162,8 +165,7 @@
 		keys[k] = "o"
 		delete(m.revokedAt, k)
 	}
-	keys["always"] = "o9" // without any keys, calls would need none
-	m.state = stateSpec{Version: m.state.Version + 1 + m.rng.Int64N(3), Routes: m.state.Routes, Keys: keys}
+	m.state = stateSpec{Version: m.state.Version + 1 + m.rng.Int64N(3), KeysRequired: true, Routes: m.state.Routes, Keys: keys}
 }
 
 func (m *storeModel) endRead() {
@@ -181,7 +183,7 @@
 }
 
 func (m *storeModel) call() {
-	k := []string{"k0", "k1", "k2"}[m.rng.IntN(3)]
+	k := []string{"k0", "k1", "k2", "", "never"}[m.rng.IntN(5)]
 	g, err := m.tracker.Judge(m.now, "a.example", "/x/1", k, 0)
 	if g.Version != 0 {
 		require.GreaterOrEqual(m.t, g.Version, m.newestVersion, "decided by an older version than before")
@@ -190,6 +192,7 @@
 	if err != nil {
 		return
 	}
+	require.Contains(m.t, []string{"k0", "k1", "k2"}, k, "a call was accepted with a key that never was valid")
 	if since, ok := m.revokedAt[k]; ok {
 		require.LessOrEqual(m.t, m.now.Sub(since), testAges.Key, "key accepted too long after it was revoked")
 	}
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -126,7 +126,7 @@
 
 func (s OperatorSink) applyState(state *ragworthitch.DesiredState, at clock.Time) {
 	if s.DesiredState.Apply(state) {
-		s.Log.Info().Int64("version", state.Version()).Int("routes", len(state.Routes())).Int("orgs", len(state.Organisations())).Strs("differentiated", s.DesiredState.Differentiated()).
+		s.Log.Info().Int64("version", state.Version()).Int("routes", len(state.Routes())).Int("orgs", len(state.Organisations())).Bool("keysRequired", state.KeysRequired()).Strs("differentiated", s.DesiredState.Differentiated()).
 			Dur("readTook", clock.Now().Sub(at)).Msg("desired: new state in force")
 	}
 }
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -106,11 +106,14 @@
 		return &relay.PeerReader{Table: table, WantsAsOf: needsAge, Selector: peerSelector, Cache: i.relay.Tables[table], Dial: dialTable, Log: i.log}
 	}
 
+	operatorTable := func(r platform.Reader) platform.OperatorTable {
+		return platform.OperatorTable{Reader: r, Unreadable: i.unreadable, KeysRequired: i.settings.KeysRequired()}
+	}
 	operatorReader := newReader(platform.TableOperator, true)
 	operatorReader.Locations = &i.locations
 	p.Go((&discovery.Follower[discovery.OperatorRow]{Name: platform.TableOperator, Log: i.log,
-		Source:  platform.OperatorTable{Reader: storeReader(platform.TableOperator), Unreadable: i.unreadable},
-		Relay:   relayedTable[discovery.OperatorRow]{platform.OperatorTable{Reader: operatorReader, Unreadable: i.unreadable}, operatorReader},
+		Source:  operatorTable(storeReader(platform.TableOperator)),
+		Relay:   relayedTable[discovery.OperatorRow]{operatorTable(operatorReader), operatorReader},
 		Sink:    discovery.OperatorSink{DesiredState: i.desiredState, Rollouts: &i.rollouts, Log: i.log},
 		MaxWait: i.desiredWait(), FirstPollDelay: i.firstPollDelay(peersApplyTime), RereadInterval: desiredRereadInterval, Recovery: &i.recovery, MaxBackoff: peerSelector.Backoff}).Run)
 
