rollout: an order for the version in service does not put it on trial

- Operator orders v2, which is rolled back, then v1 to say that all stays as it is, then v3.
A status now names the versions in service when its order began (Status.InService): those of completed orders, and those that were there well before the order.
They are not judged, and no order rejects them.
A rejection counts the bad answers; from ten on another order for the version is rolled back at once.

--- a/instance/rollouts.go
+++ b/instance/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -63,6 +64,9 @@
 		version := member.Target().Version()
 		if versions.IsOld(version) {
 			targets.Old++
+			if !slices.Contains(targets.OldVersions, version) {
+				targets.OldVersions = append(targets.OldVersions, version)
+			}
 		}
 		if !versions.IsNew(version) {
 			targets.OldLoad += load
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -17,6 +17,8 @@
 		NewReady int // new targets that accept calls
 		OldLoad  int // calls at other targets than new ones, of all instances as far as known
 		NewLoad  int // calls at new targets, likewise
+		// OldVersions are the versions of the old targets.
+		OldVersions []string
 	}
 
 	// Change is a status to be written if the previous row still has version If.
@@ -52,7 +54,8 @@
 			}
 			continue
 		}
-		state, reason := s.nextState(now, storeNow, observe(s.order.Service, s.versions()))
+		targets := observe(s.order.Service, s.versions())
+		state, reason := s.nextState(now, storeNow, targets)
 		if s.verdict.Bad && !s.rollBackDue {
 			s.rollBackDue = true
 			t.Log.Warn().Str("service", s.order.Service).Str("to", s.order.To).Str("route", s.verdict.Route).Stringer("symptom", s.verdict.Symptom).
@@ -67,6 +70,13 @@
 		c := s.change(state, reason)
 		if s.status.State == None {
 			c.Since, c.Replaced = storeNow-now.Sub(s.orderSeenAt), s.accountedOrder
+			c.InService = s.inServiceDuring(targets.OldVersions, now)
+		}
+		if state == RolledBack {
+			c.Bad += targets.NewLoad
+		}
+		if state == Completed {
+			c.InService = []string{s.order.To}
 		}
 		if state.Final() {
 			for w := range s.tallies {
@@ -82,6 +92,7 @@
 func (s *service) change(state State, reason string) Change {
 	c := Change{Status: s.status, If: s.status.Row, Verdict: s.verdict, Calls: s.calls, Reason: reason}
 	c.Order, c.Service, c.To, c.State, c.Rejected = s.order.ID, s.order.Service, s.order.To, state, s.rejected.list()
+	c.Bad = max(c.Bad, s.badAnswers())
 	return c
 }
 
@@ -97,15 +108,20 @@
 // nextState returns the state that the order should be in, and the reason.
 func (s *service) nextState(now clock.Time, storeNow time.Duration, c TargetCounts) (State, string) {
 	elapsed := float64(s.age(now, storeNow)) / float64(s.order.Duration)
-	if s.hasNewEvidence {
+	inService := s.versions().toInService
+	if s.hasNewEvidence && !inService {
 		s.verdict, s.hasNewEvidence = s.judge.evaluate(s.tallies, elapsed >= recentFrom), false
 		s.budget.updateUsage(s.tallies)
 	}
 	replaced := c.Old == 0 && c.New > 0 && c.OldLoad == 0
 	ready := float64(c.NewReady) >= minReadyShare*float64(c.Old)
 	switch {
+	case s.wasFoundBad():
+		return RolledBack, "found bad with an earlier order"
 	case s.status.State == None && replaced:
 		return Completed, "no other version is left"
+	case s.status.State == None && inService:
+		return Moving, "the version is in service"
 	case s.status.State == None:
 		return Running, "order received"
 	case s.rollBackDue || s.verdict.Bad:
@@ -114,9 +130,9 @@
 		return Moving, "judged good"
 	case s.status.State == Running && elapsed >= promoteLikelyFrom && s.verdict.Likely && ready:
 		return Moving, "more likely good than bad, near the end of the duration"
-	case s.status.State == Moving && s.verdict.Likely && ready && c.OldLoad == 0:
+	case s.status.State == Moving && (s.verdict.Likely || inService) && ready && c.OldLoad == 0:
 		return Completed, "judged good; no load left at the old targets"
-	case s.status.State == Moving && s.verdict.Likely && ready && elapsed >= completeFrom && c.oldLoadIsLow():
+	case s.status.State == Moving && (s.verdict.Likely || inService) && ready && elapsed >= completeFrom && c.oldLoadIsLow():
 		return Completed, "judged good; little load left at the old targets"
 	case s.status.State == Moving:
 		return Moving, "" // even past the duration: completing now would end most calls
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -7,7 +7,7 @@
 // States of an order, and where new calls go in each:
 //
 //	state       new calls, and replicas of streams      next states
-//	(none)      any version                             Running
+//	(none)      any version                             Running, Moving, Completed, RolledBack
 //	Running     a canary share to the new version       Moving, RolledBack
 //	Moving      new version                             Completed, RolledBack
 //	Completed   new version                             (final)
@@ -23,8 +23,15 @@
 // maxRejected of them: an instance that starts later learns of them with the status, and a
 // status is written only after the one that it replaces was read. A rejected version gets no
 // calls, and counts neither as the old nor as the new version: its targets and answers take no
-// part in a decision. It is readmitted once an order for it is completed; while such an order
-// runs, the version gets its canary share, as a new one does.
+// part in a decision. If only rejected versions have targets, calls are rejected at once.
+//
+// A rejected version that is ordered anew is judged anew, with the canary share, unless it has
+// given maxBadBefore bad answers: then that order is rolled back at once. An order that is
+// completed readmits its version.
+//
+// A status also names the versions that were in service when its order began: those of
+// completed orders, and those that had been there before the order. They are not on trial, so an
+// order for one of them moves the calls at once, and does not reject it however it ends.
 //
 // Every instance applies the canary share to its own calls, so the operator's bound on the
 // share holds over all instances, whatever their number. Other calls that reach the new
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -48,6 +48,10 @@
 		// accounts for all orders up to that one.
 		Replaced int64
 		Rejected []Rejection // by ascending order
+		// InService are the versions that were in service when the order began, sorted. They
+		// are not rejected.
+		InService []string
+		Bad       int // bad answers of the version, over all its orders; those of calls in progress count
 	}
 )
 
--- a/rollout/orders_test.go
+++ b/rollout/orders_test.go
@@ -29,6 +29,7 @@
 		To        string
 		By        string // instance
 		Unstarted bool
+		Withdraw  bool
 		Discover  string // version
 		Answers   string // instance that counts the answers
 		Version   string
@@ -83,6 +84,10 @@
 	switch {
 	case s.Order > 0:
 		r.order(s)
+	case s.Withdraw:
+		for _, tracker := range r.instances {
+			tracker.Withdraw(svc)
+		}
 	case s.Discover != "":
 		r.discover(s.Discover)
 	case s.Answers != "":
@@ -160,6 +165,7 @@
 			r.observed.New, r.observed.NewReady = targetsPerVersion, targetsPerVersion
 		case versions.IsOld(v):
 			r.observed.Old += targetsPerVersion
+			r.observed.OldVersions = append(r.observed.OldVersions, v)
 		}
 		seen[v] = true
 	}
--- a/rollout/placement.go
+++ b/rollout/placement.go
@@ -87,7 +87,7 @@
 // effectiveState returns the state that this instance acts on, which may be ahead of the
 // status in the store.
 func (s *service) effectiveState() State {
-	if s.rollBackDue && !s.isReplaced() && !s.status.State.Final() {
+	if !s.isReplaced() && !s.status.State.Final() && (s.rollBackDue || s.order.ID != 0 && s.wasFoundBad()) {
 		return RolledBack
 	}
 	if s.status.State == None && s.order.ID != 0 {
@@ -168,7 +168,7 @@
 		return Spare
 	case p.state == None:
 		return Selected
-	case p.state == RolledBack && isNew:
+	case p.state == RolledBack && isNew && !p.versions.toInService:
 		return Never
 	case p.state == RolledBack:
 		return Selected
--- a/rollout/rejected.go
+++ b/rollout/rejected.go
@@ -4,11 +4,19 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-// maxRejected is the number of rejected versions that a status names. A version is forgotten
-// once so many others were rejected after it.
-const maxRejected = 64
+const (
+	// maxRejected is the number of rejected versions that a status names. A version is
+	// forgotten once so many others were rejected after it.
+	maxRejected = 64
+	// maxBadBefore is the number of bad answers from which a version is not tried again when
+	// it is ordered anew. It is a fifth of those that the operator allows a version in all,
+	// since instances learn late of the answers of others.
+	maxBadBefore = 10
+)
 
 type (
 	// Rejection says that a version gets no calls: its order was rolled back, withdrawn, or
@@ -16,19 +24,21 @@
 	Rejection struct {
 		Version string
 		Order   int64 // the latest order that it was rejected with
+		Bad     int   // bad answers that it has given, over all orders, as far as known
 	}
 
 	// rejections holds the rejected versions of a service. They outlive the orders that they
 	// were rejected with: the operator removes the targets of such a version only some time
 	// later. The zero value holds none.
 	rejections struct {
-		orders map[string]int64 // by version; replaced when it changes, so that readers need no lock
+		byVersion map[string]Rejection // replaced when it changes, so that readers need no lock
 	}
 
 	// Versions tells the versions of a service apart during an order.
 	Versions struct {
-		to       string
-		rejected map[string]int64
+		to          string
+		toInService bool // the new version was in service before the order
+		rejected    map[string]Rejection
 	}
 )
 
@@ -46,36 +56,34 @@
 
 // add adds a rejection and reports whether the version was not rejected before.
 func (r *rejections) add(j Rejection) bool {
-	known, ok := r.orders[j.Version]
-	if known >= j.Order {
+	known, ok := r.byVersion[j.Version]
+	if known.Order >= j.Order && known.Bad >= j.Bad {
 		return false
 	}
-	orders := maps.Clone(r.orders)
-	if orders == nil {
-		orders = map[string]int64{}
+	j.Order, j.Bad = max(j.Order, known.Order), max(j.Bad, known.Bad)
+	byVersion := maps.Clone(r.byVersion)
+	if byVersion == nil {
+		byVersion = map[string]Rejection{}
 	}
-	orders[j.Version] = j.Order
-	r.orders = orders
+	byVersion[j.Version] = j
+	r.byVersion = byVersion
 	return !ok
 }
 
 // remove removes a version unless it was rejected after the order, and reports whether it did.
 func (r *rejections) remove(version string, order int64) bool {
-	rejectedWith, ok := r.orders[version]
-	if !ok || rejectedWith > order {
+	j, ok := r.byVersion[version]
+	if !ok || j.Order > order {
 		return false
 	}
-	r.orders = maps.Clone(r.orders)
-	delete(r.orders, version)
+	r.byVersion = maps.Clone(r.byVersion)
+	delete(r.byVersion, version)
 	return true
 }
 
 // list returns the rejections by ascending order.
 func (r *rejections) list() []Rejection {
-	var out []Rejection
-	for version, order := range r.orders {
-		out = append(out, Rejection{Version: version, Order: order})
-	}
+	out := slices.Collect(maps.Values(r.byVersion))
 	slices.SortFunc(out, func(a, b Rejection) int {
 		return cmp.Or(cmp.Compare(a.Order, b.Order), cmp.Compare(a.Version, b.Version))
 	})
@@ -84,10 +92,10 @@
 
 // reject records that a version gets no calls any more. from says how this instance knows.
 func (t *Tracker) reject(s *service, j Rejection, from string) {
-	if j.Order == 0 || !s.rejected.add(j) {
+	if j.Order == 0 || slices.Contains(s.inService, j.Version) || !s.rejected.add(j) {
 		return
 	}
-	t.Log.Warn().Str("service", s.name).Str("version", j.Version).Int64("order", j.Order).Str("from", from).
+	t.Log.Warn().Str("service", s.name).Str("version", j.Version).Int64("order", j.Order).Int("bad", j.Bad).Str("from", from).
 		Msg("rollout: version gets no more calls")
 	if list := s.rejected.list(); len(list) > maxRejected {
 		t.readmit(s, list[0].Version, list[0].Order, "own: too many rejected versions")
@@ -110,25 +118,60 @@
 		t.recordEnd(s, s.status)
 	}
 	if s.order.ID != 0 && s.order.ID < newer && s.order.ID > s.accountedOrder {
-		t.reject(s, Rejection{Version: s.order.To, Order: s.order.ID}, "own: order replaced")
+		t.reject(s, Rejection{Version: s.order.To, Order: s.order.ID, Bad: s.badAnswers()}, "own: order replaced")
+	}
+}
+
+// badAnswers returns the number of bad answers of the new version, over all its orders.
+func (s *service) badAnswers() int {
+	n := s.rejected.byVersion[s.order.To].Bad
+	for _, tally := range s.tallies {
+		for g, c := range tally {
+			if !g.New {
+				continue
+			}
+			for _, bad := range c.Bad {
+				n += bad
+			}
+		}
 	}
+	return n
+}
+
+// wasFoundBad reports whether the new version has given so many bad answers with earlier
+// orders that it is not tried again.
+func (s *service) wasFoundBad() bool {
+	v := s.versions()
+	return !v.toInService && v.rejected[v.to].Bad >= maxBadBefore
 }
 
 // recordEnd records the status that an order had when another replaced it: unless it was
 // completed, its version gets no calls.
 func (t *Tracker) recordEnd(s *service, st Status) {
-	t.mergeRejections(s, st)
+	t.mergeVersions(s, st)
 	s.accountedOrder = max(s.accountedOrder, st.Order)
 	if st.State == Completed {
-		t.readmit(s, st.To, st.Order, "status: completed")
 		return
 	}
-	t.reject(s, Rejection{Version: st.To, Order: st.Order}, "status: "+st.State.String())
+	j := Rejection{Version: st.To, Order: st.Order, Bad: st.Bad}
+	if st.Order == s.order.ID {
+		j.Bad = max(j.Bad, s.badAnswers())
+	}
+	t.reject(s, j, "status: "+st.State.String())
 }
 
-// mergeRejections takes over the rejections of a status. It is complete for all orders up to
-// the one whose status it replaced; those of later orders that it lacks are kept.
-func (t *Tracker) mergeRejections(s *service, st Status) {
+// mergeVersions takes over what a status says of versions. Its rejections are complete for all
+// orders up to the one whose status it replaced; those of later orders that it lacks are kept.
+func (t *Tracker) mergeVersions(s *service, st Status) {
+	if st.Order >= s.status.Order {
+		// An order that this instance has seen tells more than how long a version was there.
+		s.inService = slices.DeleteFunc(slices.Clone(st.InService), func(version string) bool {
+			return st.rejects(version) || s.rejected.byVersion[version].Order > st.Replaced
+		})
+	}
+	for _, version := range s.inService {
+		t.readmit(s, version, st.Order, "status: in service")
+	}
 	for _, j := range s.rejected.list() {
 		if j.Order <= st.Replaced && !st.rejects(j.Version) {
 			t.readmit(s, j.Version, j.Order, "status")
@@ -138,6 +181,27 @@
 		t.reject(s, j, "status")
 	}
 	s.accountedOrder = max(s.accountedOrder, st.Replaced)
+	if st.State == Completed {
+		s.inService = []string{st.To}
+		t.readmit(s, st.To, st.Order, "status: completed")
+	}
+}
+
+// inServiceDuring returns the versions that are in service when an order begins: those that
+// were at the last one, and those that have been used as old ones for some time. Versions
+// without targets are left out, so that they are judged when they come back.
+func (s *service) inServiceDuring(present []string, now clock.Time) []string {
+	var out []string
+	for _, version := range present {
+		if slices.Contains(s.inService, version) || s.wasThereBefore(version, now) {
+			out = append(out, version)
+		}
+	}
+	if to := s.order.To; slices.Contains(s.inService, to) {
+		out = append(out, to)
+	}
+	slices.Sort(out)
+	return out
 }
 
 // hasUnwrittenRejections reports whether the status in the store lacks a rejection.
@@ -152,7 +216,16 @@
 	return slices.ContainsFunc(st.Rejected, func(j Rejection) bool { return j.Version == version })
 }
 
+// wasThereBefore reports whether a version was discovered well before now. At the first order
+// of all it is enough that it was discovered with the first version.
+func (s *service) wasThereBefore(version string, now clock.Time) bool {
+	since, seen := s.firstSeen[version]
+	isInitial := since.Sub(s.firstSeen[s.firstVersion]) <= initialDiscovery
+	return seen && (now.Sub(since) >= newVersionHold || isInitial && s.status.Row == 0)
+}
+
 // versions tells the versions apart.
 func (s *service) versions() Versions {
-	return Versions{to: s.wantedVersion(), rejected: s.rejected.orders}
+	to := s.wantedVersion()
+	return Versions{to: to, toInService: slices.Contains(s.inService, to), rejected: s.rejected.byVersion}
 }
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -98,7 +98,8 @@
 		calls          Calls
 		baselines      map[string]baseline // by route
 		rejected       rejections
-		accountedOrder int64 // statuses read from the store account for the ends of all orders up to this one
+		inService      []string // when the latest order with a status began
+		accountedOrder int64    // statuses read from the store account for the ends of all orders up to this one
 	}
 
 	// baseline is the mean answer time of the old version on a route.
@@ -261,10 +262,7 @@
 	}
 	changed := st.State != s.status.State || st.Order != s.status.Order
 	t.endEarlier(s, st.Order)
-	t.mergeRejections(s, st)
-	if st.State == Completed {
-		t.readmit(s, st.To, st.Order, "status: completed")
-	}
+	t.mergeVersions(s, st)
 	s.status = st
 	t.updateActive()
 	if changed {
