--- a/rehearse/bounds.go
+++ b/rehearse/bounds.go
@@ -15,6 +15,8 @@
 	BoundQuarantine = "quarantine"
 	// BoundShares is on what organisations get of a capacity that all instances use.
 	BoundShares = "shares"
+	// BoundExposure is on the calls that bad versions of a service get.
+	BoundExposure = "exposure"
 )
 
 type (
@@ -49,6 +51,7 @@
 	BoundQuarantine: {limits: []float64{0.5, 2, 6}, play: playQuarantine},
 	BoundRetries:    {limits: []float64{1, 20, 150, 1040}, play: playRetries},
 	BoundShares:     {limits: []float64{4, 10, 25}, play: playShares},
+	BoundExposure:   {limits: []float64{5, 33, 200}, play: playExposure},
 }
 
 // Bounds returns the names of the bounds, sorted.
