soak: a version without organisations in every run

Every plan now begins with a version that has none, for 2 s before the first fault; calls present a key that no version had.

--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -18,6 +18,7 @@
     "not run, though it may have": ("NOTRUN", "ingress/active_call.go", "	if !c.mayHaveRun {", "	if c != nil {"),
     "payments are sent again": ("TWICE", "ingress/plain.go", "			if c.mayHaveRun && !safe {", "			if false && c.mayHaveRun && !safe {"),
     "a removed key is good while the store is away": ("REVOKED", "desired/tracker.go", "		if age > t.ages.Key {", "		if false && age > t.ages.Key {"),
+    "a list of no organisations opens all routes": ("REVOKED", "desired/tracker.go", "(key != \"\" || current.state.KeysRequired())", "len(current.state.Organisations()) > 0"),
     "states are taken over late": ("CURRENT", "desired/tracker.go", "	t.current.Store(newTable(d))", "	time.AfterFunc(4*time.Second, func() { t.current.Store(newTable(d)) })"),
     "an older state is in force now and then": ("REVERTED", "desired/tracker.go", "	current := t.current.Load()\n	g :=", "	current := t.current.Load()\n	if p := t.old.Load(); p != nil && now%5 == 0 {\n		current = p\n	}\n	g :=",
         "desired/tracker.go", "current    atomic.Pointer[table]", "current, old atomic.Pointer[table]", "desired/tracker.go", "	t.current.Store(newTable(d))", "	t.old.Store(t.current.Load())\n	t.current.Store(newTable(d))"),
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -21,6 +21,7 @@
 
 const (
 	meanCallPause  = 150 * time.Millisecond
+	neverValidOdds = 4 // one call of CallKey in so many has a key that no version had
 	connectTimeout = time.Second
 	// lateAnswerWait is how long callers wait after a call's deadline, so that late
 	// answers are recorded.
@@ -122,6 +123,9 @@
 		v := c.exec.operator.latestVersion()
 		call.Path, call.Org = pathSafe+"x", orgRotating
 		call.Key = keyOf(max(1, v-c.rng.IntN(activeKeys+2)))
+		if c.rng.IntN(neverValidOdds) == 0 {
+			call.Key = keyNever
+		}
 	}
 	return call
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -93,6 +93,8 @@
 		c.checkShutdown(&h.Calls[i])
 		c.checkDesiredState(&h.Calls[i])
 		c.checkKey(&h.Calls[i])
+		c.checkNeverValid(&h.Calls[i])
+		c.checkNoKeys(&h.Calls[i])
 		c.checkBystander(&h.Calls[i])
 	}
 	for id, attempts := range c.attempts {
@@ -194,7 +196,7 @@
 		if ch.RevokedKey == call.Key && ch.AckedAt != 0 && call.SentAt > ch.AckedAt+int64(revokeDelay) && len(c.attempts[call.ID]) > 0 {
 			c.addViolation(RuleRevoked, call.SentAt, "call %s ran with %s, which version %d had removed %.1f s before", call.ID, call.Key, ch.Version, seconds(call.SentAt-ch.AckedAt))
 		}
-		if ch.AddedKey == call.Key && call.Status == http.StatusUnauthorized && c.mustBeInForce(ch, call) && !c.mayBeRemoved(call, func(o Change) bool { return o.RevokedKey == call.Key }) {
+		if ch.AddedKey == call.Key && call.Status == http.StatusUnauthorized && c.mustBeInForce(ch, call) && !c.mayBeRemoved(call, func(o Change) bool { return o.RevokedKey == call.Key }) && !c.mayLackKeys(call) {
 			c.addViolation(RuleConfigDelay, call.SentAt, "call %s at %s: %s rejected %.1f s after version %d added it", call.ID, call.Entry, call.Key, seconds(call.SentAt-ch.AckedAt), ch.Version)
 		}
 	}
@@ -204,6 +206,8 @@
 func (c *checker) checkDesiredState(call *Call) {
 	denied := call.Status == http.StatusNotFound || call.Status == http.StatusUnauthorized || call.Status == http.StatusForbidden
 	switch {
+	case call.Status == http.StatusUnauthorized && c.mayLackKeys(call):
+		return
 	case denied && call.Kind != CallRoute && call.Kind != CallKey, call.Status == http.StatusUnauthorized && call.Kind == CallRoute:
 		c.addViolation(RuleDenied, call.EndedAt, "call %s at %s: status %d, though every version allows the call", call.ID, call.Entry, call.Status)
 		return
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -77,8 +77,8 @@
 }
 
 // desiredState returns a version of the desired state: the fixed routes, and the routes
-// and keys of the latest versions.
-func desiredState(version int) ([]byte, error) {
+// and keys of the latest versions. Without keys it has a list of organisations with none.
+func desiredState(version int, withKeys bool) ([]byte, error) {
 	route := func(name, prefix string, kind ragworthitch.CallKind, service string, timeout time.Duration) ragworthitch.RouteParams {
 		return ragworthitch.RouteParams{Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: timeout, Objective: timeout / 4, MaxAttempts: 4, Priority: 1,
 			Shares: []ragworthitch.Share{{Service: service, Weight: 1}}}
@@ -95,14 +95,16 @@
 	for v := max(1, version-activeKeys+1); v <= version; v++ {
 		keys = append(keys, keyOf(v))
 	}
-	d, err := ragworthitch.NewDesiredState(ragworthitch.DesiredParams{Version: int64(version), Routes: routes,
+	var orgs []ragworthitch.Organisation
+	if withKeys {
+		orgs = append(orgs, ragworthitch.NewOrganisation(orgFixed, []string{keyFixed}, 1), ragworthitch.NewOrganisation(orgRotating, keys, 1))
+	}
+	d, err := ragworthitch.NewDesiredState(ragworthitch.DesiredParams{Version: int64(version), Routes: routes, Orgs: orgs, KeysRequired: true,
 		Services: []ragworthitch.Service{
 			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceLLM, HealthPath: platform.HealthPath, MaxConns: 400,
 				Engine: &ragworthitch.Engine{Slots: targetSlots, KVTokens: 55000, CanMigrate: true, CanReplicate: true, TokensPerEvent: 1, ReplicaExpiry: replicaExpiry}}),
 			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceApp, HealthPath: platform.HealthPath, MaxConns: 400})},
-		Limits: ragworthitch.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second},
-		Orgs: []ragworthitch.Organisation{ragworthitch.NewOrganisation(orgFixed, []string{keyFixed}, 1),
-			ragworthitch.NewOrganisation(orgRotating, keys, 1)}})
+		Limits: ragworthitch.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}})
 	if err != nil {
 		return nil, err
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,7 @@
 	err := x.apply(ctx, f)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if f.Kind != KindChange {
+	if f.Kind != KindChange && f.Kind != KindNoKeys {
 		x.faults = append(x.faults, InjectedFault{Fault: f, StartedAt: startedAt.UnixNano(), EndedAt: time.Now().UnixNano()})
 	}
 	if err != nil {
@@ -38,6 +38,8 @@
 	switch f.Kind {
 	case KindChange:
 		return x.operator.writeNextVersion(ctx)
+	case KindNoKeys:
+		return x.takeKeys(ctx, f)
 	case KindPoison, KindPoisonPart:
 		x.sendPoison(ctx, f)
 		return nil
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -29,11 +29,14 @@
 
 // writeNextVersion writes the next version and retries until the store acknowledges it or
 // ctx ends.
-func (o *operator) writeNextVersion(ctx context.Context) error {
+func (o *operator) writeNextVersion(ctx context.Context) error { return o.writeVersion(ctx, true) }
+
+// writeVersion is like writeNextVersion; without keys the version has no organisations.
+func (o *operator) writeVersion(ctx context.Context, withKeys bool) error {
 	o.writeMu.Lock()
 	defer o.writeMu.Unlock()
 	v := o.latestVersion() + 1
-	value, err := desiredState(v)
+	value, err := desiredState(v, withKeys)
 	if err != nil {
 		return err
 	}
@@ -44,6 +47,9 @@
 	if v > activeKeys {
 		c.RevokedKey = keyOf(v - activeKeys)
 	}
+	if !withKeys {
+		c.AddedKey, c.NoKeys = "", true
+	}
 	o.mu.Lock()
 	o.changes = append(o.changes, c)
 	o.mu.Unlock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -61,6 +61,9 @@
 	// doesn't; at the end it is stopped, and a new one started.
 	KindDraining = "leaving"
 
+	// KindNoKeys removes all organisations, until the next version.
+	KindNoKeys = "noKeys"
+
 	KindChange = "change" // the operator adds a route and a key and removes the oldest ones
 )
 
@@ -142,7 +145,7 @@
 }
 
 // alwaysDrawn are the kinds that every plan has.
-var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather, KindEndless, KindBackoff, KindDraining}
+var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather, KindEndless, KindBackoff, KindDraining, KindNoKeys}
 
 var kindChoices = []kindChoice{
 	{KindDelay, 3, (*planDrawer).drawLink}, {KindReset, 4, (*planDrawer).drawLink}, {KindBlockRequests, 3, (*planDrawer).drawLink},
@@ -184,6 +187,7 @@
 	p.Faults = append(p.Faults, d.drawEndless(end)...)
 	p.Faults = append(p.Faults, d.drawBackoffs(end)...)
 	p.Faults = append(p.Faults, d.drawDraining(end)...)
+	p.Faults = append(p.Faults, Fault{Kind: KindNoKeys, AtMs: int(noKeysFrom.Milliseconds()), ForMs: int(noKeysFor.Milliseconds())})
 	p.sort()
 	return p, nil
 }
--- a/soak/records.go
+++ b/soak/records.go
@@ -95,6 +95,7 @@
 		RemovedRoute string `json:"removed"` // path of the removed route
 		RevokedKey   string `json:"revoked"`
 		AddedKey     string `json:"newKey"`
+		NoKeys       bool   `json:"noKeys,omitempty"` // it has no organisations
 	}
 
 	// InjectedFault is a fault with its actual times.
