registry: what a target asked for outlives its registration

Rate limits and backoffs are a target's own, but stood with its registration. While the store is unavailable an entry may expire and return as it was; the member is then made anew and knew neither, so that calls beyond the limit, or in the backoff, were sent until the next answer. That a target is draining was kept already, for the same reason.

What a target has asked for is now kept by boot and address, for the last maxEndedBoots of them, and given to a member of the same boot.

Test: TestRequestsOfTargetOutliveRegistration failed before (rate limit and backoff gone for the same boot).

--- a/registry/barred.go
+++ b/registry/barred.go
@@ -33,11 +33,11 @@
 		return ErrUnregistered
 	case m.isDraining():
 		return ErrDraining
-	case m.backoff.Remaining(now) > 0:
+	case m.asked.backoff.Remaining(now) > 0:
 		return ErrBackoff
 	}
 	return nil
 }
 
 // Backoff returns the backoff that the target asks this instance for.
-func (m *Member) Backoff() *backoff.State { return &m.backoff }
+func (m *Member) Backoff() *backoff.State { return &m.asked.backoff }
--- a/registry/rate_limits.go
+++ b/registry/rate_limits.go
@@ -7,7 +7,7 @@
 
 // ObserveRateLimit records what an answer of the target says about its rate limit.
 func (m *Member) ObserveRateLimit(a ratelimit.Answer) ratelimit.Change {
-	c := m.limit.Observe(a)
+	c := m.asked.limit.Observe(a)
 	if c.Changed {
 		m.onLimited()
 	}
@@ -16,7 +16,7 @@
 
 // ApplyRateLimit records what a peer reports about the target's rate limit.
 func (m *Member) ApplyRateLimit(r ratelimit.Report, now clock.Time) ratelimit.Change {
-	c := m.limit.Apply(r, now)
+	c := m.asked.limit.Apply(r, now)
 	if c.Changed {
 		m.onLimited()
 	}
@@ -44,7 +44,7 @@
 	defer r.limitedMu.Unlock()
 	out := make([]*Member, 0, len(r.limited))
 	for m := range r.limited {
-		if !m.limit.Active() {
+		if !m.asked.limit.Active() {
 			delete(r.limited, m)
 			continue
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
-	"github.com/ragworthitch/ragworthitch/backoff"
 	"github.com/ragworthitch/ragworthitch/bounded"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/health"
@@ -63,6 +62,8 @@
 		limitedMu sync.Mutex
 		limited   map[*Member]bool // targets that have, or lately had, a rate limit
 
+		askedByBoot bounded.Map[location, *asked] // of targets that are no longer known
+
 		drainingMu      sync.Mutex
 		drainingMembers map[*Member]bool                      // known targets that reports say to be draining
 		drainingBoots   bounded.Map[location, drainingSource] // the same, also of targets that are no longer known
@@ -74,9 +75,7 @@
 		health health.State
 		pace   pace.Engine
 		work   Work
-		limit  ratelimit.Limit
-
-		backoff backoff.State // that the target asks this instance for
+		asked  *asked
 
 		onLimited  func()               // called when the target has a rate limit
 		onDraining func(drainingSource) // called when the target is known to drain
@@ -116,7 +115,7 @@
 func (m *Member) Work() *Work { return &m.work }
 
 // RateLimit returns the rate limit that the target names in its answers.
-func (m *Member) RateLimit() *ratelimit.Limit { return &m.limit }
+func (m *Member) RateLimit() *ratelimit.Limit { return &m.asked.limit }
 
 // Life returns a context that ends, with the cause ErrEnded, when this boot of the
 // target is known to have ended: its attempts are lost.
@@ -139,7 +138,7 @@
 
 // AcceptsCalls reports whether the target may get new calls.
 func (m *Member) AcceptsCalls(now clock.Time) bool {
-	return m.Barred(now) == nil && m.backoff.Available(now) && m.health.Usable(now)
+	return m.Barred(now) == nil && m.asked.backoff.Available(now) && m.health.Usable(now)
 }
 
 // Put adds a target or updates its registration. maxConns is the number of
@@ -229,12 +228,13 @@
 
 // add adds a target's member; r.mu is held.
 func (r *Registry) add(t ragworthitch.Target, maxConns int) {
-	m := &Member{addedAt: clock.Now(), conns: upstream.NewPool(t.Address(), maxOwnConns(maxConns)), target: t, coldUntil: clock.Now().Add(t.WarmupRemaining())}
+	m := &Member{addedAt: clock.Now(), conns: upstream.NewPool(t.Address(), maxOwnConns(maxConns)), target: t, asked: &asked{}, coldUntil: clock.Now().Add(t.WarmupRemaining())}
 	m.life, m.end = context.WithCancelCause(context.Background())
 	m.work.onChange = func(busy bool) { r.setBusy(m, busy) }
 	m.onLimited = func() { r.addLimited(m) }
 	m.onDraining = func(s drainingSource) { r.addDraining(m, s) }
 	r.restoreDraining(m)
+	r.restoreAsked(m)
 	r.byID[t.ID()], r.byAddr[t.Address()] = m, m
 	r.addToServices(m)
 }
@@ -354,6 +354,7 @@
 		delete(r.byAddr, t.Address())
 	}
 	r.removeFromServices(m)
+	r.keepAsked(m)
 	r.dropLimited(m)
 	r.dropDraining(m)
 	m.conns.Close()
