ingress: a call's placement is determined once for a loop over targets

It takes the lock of the roll-outs and was determined anew for each target where a call waits, up to 740 times. No change of behaviour.

--- a/ingress/barred.go
+++ b/ingress/barred.go
@@ -41,8 +41,9 @@
 // otherwise the zero value.
 func (c *activeCall) barredTargets(now clock.Time) barredTargets {
 	var b barredTargets
+	excludes := c.exclusions(now)
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.excludes(m, now) {
+		if excludes(m) {
 			continue
 		}
 		err := m.Barred(now)
@@ -64,8 +65,9 @@
 	now := clock.Now()
 	maxWait := time.Duration(barredWaitShare*float64(c.grant.Route.Objective())) - now.Sub(c.call.Received)
 	shortest := time.Duration(math.MaxInt64)
+	excludes := c.exclusions(now)
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.tried.has(m) || c.excludes(m, now) {
+		if c.tried.has(m) || excludes(m) {
 			continue
 		}
 		if m.AcceptsCalls(now) {
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -33,10 +33,13 @@
 	return c.h.rollouts.Place(c.service(), c.role, now)
 }
 
-// excludes reports whether the call must not be sent to a target, however well it is: the
-// request is quarantined there, or the target's version is rejected.
-func (c *activeCall) excludes(m *registry.Member, now clock.Time) bool {
-	return c.targetFilter != nil && !c.targetFilter(m) || c.placement(now).Use(m.Target().Version()) == rollout.Never
+// exclusions returns a function that reports whether the call must not be sent to a target,
+// however well it is: the request is quarantined there, or the target's version is rejected.
+func (c *activeCall) exclusions(now clock.Time) func(*registry.Member) bool {
+	p := c.placement(now)
+	return func(m *registry.Member) bool {
+		return c.targetFilter != nil && !c.targetFilter(m) || p.Use(m.Target().Version()) == rollout.Never
+	}
 }
 
 // placementFields returns a function that adds to a log line what a roll-out says at the
--- a/ingress/refused.go
+++ b/ingress/refused.go
@@ -47,9 +47,9 @@
 	if c.testWaitEnd != 0 && now >= c.testWaitEnd {
 		return false
 	}
-	testing := false
+	testing, excludes := false, c.exclusions(now)
 	for _, m := range c.h.targets.Service(c.service()) {
-		if c.tried.has(m) || c.excludes(m, now) {
+		if c.tried.has(m) || excludes(m) {
 			continue
 		}
 		if m.AcceptsCalls(now) {
--- a/ingress/replica.go
+++ b/ingress/replica.go
@@ -42,7 +42,7 @@
 		return nil
 	}
 	m := s.h.targets.ByAddress(s.replica.addr)
-	if m == nil || s.excludes(m, clock.Now()) || !slices.Contains(m.Target().Services(), s.service()) || m.Target().Boot().Started() > s.replica.requestedAt.UnixMilli() {
+	if m == nil || s.exclusions(clock.Now())(m) || !slices.Contains(m.Target().Services(), s.service()) || m.Target().Boot().Started() > s.replica.requestedAt.UnixMilli() {
 		return nil
 	}
 	return m
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -285,8 +285,9 @@
 	if p.PrefillRatio == 0 || duration == 0 || instances == 0 {
 		return 0
 	}
+	excludes := s.exclusions(now)
 	for _, m := range s.h.targets.Service(s.service()) {
-		if m.AcceptsCalls(now) && !s.excludes(m, now) {
+		if m.AcceptsCalls(now) && !excludes(m) {
 			engines++
 		}
 	}
--- a/rollout/placement.go
+++ b/rollout/placement.go
@@ -110,17 +110,20 @@
 // heldVersions returns the versions that appeared a short time ago without an order. It
 // returns none if they are the only ones that the calls could go to.
 func (s *service) heldVersions(now clock.Time) map[string]bool {
-	versions, held, others := s.versions(), map[string]bool{}, 0
+	versions, others := s.versions(), false
+	var held map[string]bool
 	for version, since := range s.firstSeen {
 		switch {
 		case !versions.IsOld(version):
-		case since.Sub(s.firstSeen[s.firstVersion]) > initialDiscovery && now.Sub(since) < newVersionHold:
-			held[version] = true
+		case since.Sub(s.firstSeen[s.firstVersion]) <= initialDiscovery || now.Sub(since) >= newVersionHold:
+			others = true
+		case held == nil:
+			held = map[string]bool{version: true}
 		default:
-			others++
+			held[version] = true
 		}
 	}
-	if others == 0 {
+	if !others {
 		return nil
 	}
 	return held
