rollout: the usual failures of a good version do not keep it from being ordered again

Read in the diff: counted all bad answers of a version, also those that a good one has. Ordered again while calls moved to it, as an operator does who needs a longer duration, it was rolled back at once. Bad answers count only with an order with which the version was found bad.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -72,7 +72,7 @@
 			c.Since, c.Replaced = storeNow-now.Sub(s.orderSeenAt), s.accountedOrder
 			c.InService = s.inServiceDuring(targets.OldVersions, now)
 		}
-		if state == RolledBack {
+		if state == RolledBack && s.verdict.Bad {
 			c.Bad += targets.NewLoad
 		}
 		if state == Completed {
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -25,8 +25,8 @@
 // calls, and counts neither as the old nor as the new version: its targets and answers take no
 // part in a decision. If only rejected versions have targets, calls are rejected at once.
 //
-// A rejected version that is ordered anew is judged anew, with the canary share, unless it has
-// given maxBadBefore bad answers: then that order is rolled back at once. An order that is
+// A rejected version that is ordered anew is judged anew, with the canary share, unless it was
+// found bad and has given maxBadBefore bad answers: then that order is rolled back at once. An order that is
 // completed readmits its version.
 //
 // A status also names the versions that were in service when its order began: those of
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -51,7 +51,9 @@
 		// InService are the versions that were in service when the order began, sorted. They
 		// are not rejected.
 		InService []string
-		Bad       int // bad answers of the version, over all its orders; those of calls in progress count
+		// Bad is the number of bad answers of the version, as in Rejection; calls in progress
+		// count when it is found bad.
+		Bad int
 	}
 )
 
--- a/rollout/rejected.go
+++ b/rollout/rejected.go
@@ -24,7 +24,7 @@
 	Rejection struct {
 		Version string
 		Order   int64 // the latest order that it was rejected with
-		Bad     int   // bad answers that it has given, over all orders, as far as known
+		Bad     int   // bad answers that it has given with orders with which it was found bad, as far as known
 	}
 
 	// rejections holds the rejected versions of a service. They outlive the orders that they
@@ -122,9 +122,13 @@
 	}
 }
 
-// badAnswers returns the number of bad answers of the new version, over all its orders.
+// badAnswers returns the number of bad answers of the new version, over all its orders with
+// which it was found bad: a good version has some, too.
 func (s *service) badAnswers() int {
 	n := s.rejected.byVersion[s.order.To].Bad
+	if !s.verdict.Bad {
+		return n
+	}
 	for _, tally := range s.tallies {
 		for g, c := range tally {
 			if !g.New {
