--- a/scripts/rehearsebugs.py
+++ b/scripts/rehearsebugs.py
@@ -27,10 +27,10 @@
     "probes are due again at once": ("quarantine", "poison/probe.go", "	return max(0, s.updatedAt.Add(delay).Sub(now))", "	return 0 * max(0, s.updatedAt.Add(delay).Sub(now))", "poison/probe.go", "	maxPartProbes        = 2", "	maxPartProbes        = 1 << 20"),
     "peers' usage is not counted": ("shares", "fairshare/fairshare.go", "		if u.Tokens > 0 {\n", "		if u.Tokens < 0 {\n"),
     "a verdict ends with its order": ("exposure", "rollout/placement.go", "	case p.versions.IsRejected(version):", "	case p.versions.IsRejected(version) && p.state == None:"),
-    "an instance that starts learns of no rejected version": ("exposure", "rollout/rejected.go", "	for _, j := range st.Rejected {", "	for _, j := range st.Rejected[:0] {"),
-    "the version of a replaced order stays": ("exposure", "rollout/rejected.go", "	if st.State == Completed {\n		return", "	if st.State != RolledBack {\n		return"),
-    "the version in service is rejected": ("exposure", "rollout/rejected.go", "slices.Contains(s.inService, j.Version) || ", ""),
-    "a bad version is tried again and again": ("exposure", "rollout/rejected.go", "Bad >= maxBadBefore", "Bad >= 1<<20"),
+    "an instance that starts learns of no rejected version": ("exposure", "rollout/versions.go", "	for _, j := range st.Rejected {", "	for _, j := range st.Rejected[:0] {"),
+    "the version of a replaced order stays": ("exposure", "rollout/versions.go", "	if st.State == Completed {\n		return", "	if st.State != RolledBack {\n		return"),
+    "the version in service is rejected": ("exposure", "rollout/versions.go", "slices.Contains(s.inService, j.Version) || ", ""),
+    "a bad version is tried again and again": ("exposure", "rollout/versions.go", "Bad >= maxBadBefore", "Bad >= 1<<20"),
     "large organisations take their turn at once": ("shares", "fairshare/share.go", "return float64(tokens) >= yieldingShare*float64(s.largest)", "return float64(tokens) > float64(s.largest)"),
 }
 
