pace, ingress: estimates that reject all streams are tested; a suspended instance learns nothing

Cause, in two parts. The instance took the time that events waited in its own sockets for the engine's: a first event after seconds, the next ones some microseconds apart, and so a prefill time per token that is too large by a factor of a thousand. And only streams that are sent yield samples: once the estimate excludes all of them, nothing corrects it. The second part makes any bad sample last, whatever its source (a link that stood still, a first engine that was slow), and holds for the admission queue as well, which sheds streams that "cannot begin in time".

Besides, an attempt whose timer has overrun (the process was suspended, or the caller read slowly) teaches nothing from then on: no interval, prefill time, packet loss or slowness of a version (TestDelayedEventsTeachNothing).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -59,6 +59,7 @@
 		targetLost       bool // the target was found lost, and nothing has been received since
 		overBudgetLogged bool // the exhausted retry budget has been logged
 		decodeIntervals  decodeIntervals
+		delayed          bool // this process was suspended, or the caller read slowly: the times of events say nothing about the target
 		paceRecorded     bool // the pace of the target's version has been recorded
 		failureRecorded  bool // a failure of the target's version has been recorded
 	}
@@ -206,13 +207,13 @@
 	defer timer.Stop()
 	if !a.canFailOver() {
 		lost = nil
-		timer.Stop()
 	}
 	var head *Reply
 	for {
 		select {
 		case result := <-a.results:
 			now := clock.Now()
+			a.noteDelay(wait, now.Sub(timerSetAt))
 			a.lastActivityAt, a.targetLost = now, false
 			if result.reply != nil {
 				head = result.reply
@@ -256,11 +257,11 @@
 			bootEnded = nil // the target's next boot received the attempt
 		case <-timer.C:
 			now := clock.Now()
-			if timerOverran(wait, now.Sub(timerSetAt)) {
+			if a.noteDelay(wait, now.Sub(timerSetAt)) {
 				a.lastActivityAt = now
 			}
 			silence := now.Sub(a.lastActivityAt)
-			if a.checkSilence(ctx, silence) {
+			if a.canFailOver() && a.checkSilence(ctx, silence) {
 				return errTargetSilent
 			}
 			wait, timerSetAt = a.nextSilenceCheck(silence), now
@@ -357,7 +358,11 @@
 	if a.replicaTarget == nil && a.events > 0 {
 		s.recordSoundRun(a.member)
 	}
-	s.h.paces.Of(s.service()).AddAnswer(s.lastID, s.admission(0, 0).MaxEvents(), a.lastEventAt.Sub(a.firstEventAt), a.events)
+	timedEvents := a.events
+	if a.delayed {
+		timedEvents = 0
+	}
+	s.h.paces.Of(s.service()).AddAnswer(s.lastID, s.admission(0, 0).MaxEvents(), a.lastEventAt.Sub(a.firstEventAt), timedEvents)
 	return nil
 }
 
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -175,7 +175,7 @@
 
 // recordPace records what the first events of an attempt say about its target's version.
 func (a *attempt) recordPace() {
-	if a.paceRecorded || !a.fromStart || a.events < paceSampleEvents || a.decodeIntervals.count < minDecodeIntervals || !a.s.h.rollouts.Active() {
+	if a.paceRecorded || a.delayed || !a.fromStart || a.events < paceSampleEvents || a.decodeIntervals.count < minDecodeIntervals || !a.s.h.rollouts.Active() {
 		return
 	}
 	a.paceRecorded = true
--- a/ingress/pace_test.go
+++ b/ingress/pace_test.go
@@ -40,3 +40,35 @@
 		})
 	}
 }
+
+// Guards against a pace that is learnt from events that waited here while this process was
+// suspended: they seem to come late, and then all at once.
+func TestDelayedEventsTeachNothing(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, tt := range []struct {
+		name      string
+		wait      time.Duration
+		suspended time.Duration
+		learns    bool
+	}{
+		{"suspended", ms(150), ms(3500), false},
+		{"not suspended", ms(150), ms(160), true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newTestHandler(t, &faultySender{}, ragworthitch.CallStream)
+			m := h.targets.Service("llm")[0]
+			a := &attempt{s: &stream{activeCall: &activeCall{h: h, call: &Call{}}}, member: m, startedAt: clock.Time(time.Hour), fromStart: true, prefillTokens: 8000}
+			at := a.startedAt.Add(tt.suspended)
+			a.noteDelay(tt.wait, tt.suspended)
+			for range 2 * firstEventSampleAt {
+				a.events++
+				a.observeEvent(at)
+				at = at.Add(20 * time.Microsecond)
+			}
+			assert.Equal(t, tt.learns, h.paces.Of("").Pace().EventInterval > 0)
+			assert.Equal(t, tt.learns, h.paces.Of("").Pace().PrefillRatio > 0)
+			assert.Equal(t, tt.learns, m.Pace().MeasuredInterval(at) > 0)
+			assert.Equal(t, 2*firstEventSampleAt-1, int(a.lastEventAt.Sub(a.firstEventAt)/(20*time.Microsecond)))
+		})
+	}
+}
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -68,6 +69,14 @@
 // read; a failover of all streams would exhaust the retry budget.
 func timerOverran(planned, actual time.Duration) bool { return actual > planned+maxTimerDelay }
 
+// noteDelay notes that the attempt was delayed at this process if its timer, planned to fire
+// after the given time, has overrun. It reports whether it has.
+func (a *attempt) noteDelay(planned, actual time.Duration) bool {
+	overran := timerOverran(planned, actual)
+	a.delayed = a.delayed || overran
+	return overran
+}
+
 // canFailOver reports whether the stream may be sent to another target. If not, the
 // attempt goes on although its target seems lost.
 func (a *attempt) canFailOver() bool {
@@ -135,14 +144,21 @@
 	return max(scaled(share, a.intervalObjective), scaled(pauses, longest))
 }
 
-// expectedFirstEvent returns the expected time to first event; 0 if unknown.
+// expectedFirstEvent returns the expected time to first event; 0 if unknown, as in a trial.
 func (a *attempt) expectedFirstEvent(now clock.Time) time.Duration {
+	if a.s.isTrial {
+		return 0
+	}
 	p := a.s.pace()
 	return p.TimeToFirstEvent(a.prefillBacklog+a.prefillTokens, a.s.interval(a.member, p, now))
 }
 
-// firstEventTimeout returns the time to first event after which the stream fails over.
+// firstEventTimeout returns the time to first event after which the stream fails over. A trial
+// waits as long as its caller, since the engines may be as slow as the estimates say.
 func (a *attempt) firstEventTimeout(now clock.Time) time.Duration {
+	if a.s.isTrial {
+		return a.s.deadline.Sub(a.startedAt)
+	}
 	expected := a.expectedFirstEvent(now)
 	if expected == 0 {
 		objective := a.s.grant.Route.Objective()
@@ -191,6 +207,9 @@
 // nextSilenceCheck returns the time until a silent attempt is checked again.
 func (a *attempt) nextSilenceCheck(silence time.Duration) time.Duration {
 	now := clock.Now()
+	if !a.canFailOver() {
+		return a.intervalObjective // only delays are noted
+	}
 	if checkAfter := a.connCheckAfter(now); silence < checkAfter && !a.targetLost {
 		return min(checkAfter-silence, a.decodeConnCheckAfter(now)) // prefills may be done by then
 	}
@@ -198,8 +217,13 @@
 }
 
 // observeEvent records the time of an event, from which the pace of the target and packet
-// loss on the link to its zone are learned.
+// loss on the link to its zone are learned. A delayed attempt teaches nothing any more: its
+// events were waiting here, and are read at once.
 func (a *attempt) observeEvent(readAt clock.Time) {
+	if a.delayed {
+		a.firstEventAt, a.lastEventAt = cmp.Or(a.firstEventAt, readAt), readAt
+		return
+	}
 	servicePace := a.s.h.paces.Of(a.s.service())
 	if a.lastEventAt == 0 {
 		a.firstEventAt, a.lastEventAt = readAt, readAt
--- a/pace/quantile.go
+++ b/pace/quantile.go
@@ -21,8 +21,12 @@
 type quantile struct {
 	logValue float64 // natural logarithm of the estimate
 	samples  int     // number of samples so far
+	replace  bool    // the next sample replaces the estimate
 }
 
+// restart lets the next sample replace the estimate, which stands until then.
+func (q *quantile) restart() { q.replace = q.samples > 0 }
+
 // add adds a sample. share is the estimated quantile, in (0, 1), and step the
 // distance by which a sample moves it.
 func (q *quantile) add(x, share, step float64) {
@@ -30,11 +34,11 @@
 		return
 	}
 	ln := math.Log(x)
-	q.samples++
-	if q.samples == 1 {
-		q.logValue = ln
+	if q.samples == 0 || q.replace {
+		q.logValue, q.samples, q.replace = ln, 1, false
 		return
 	}
+	q.samples++
 	currentStep := step + initialStep/float64(q.samples)
 	if ln > q.logValue {
 		q.logValue = min(ln, q.logValue+currentStep*share)
