--- a/ingress/trial.go
+++ b/ingress/pace_probe.go
@@ -5,19 +5,19 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
-// beginTrial reports whether the stream is sent as a trial: the estimates of the engines' pace
+// beginPaceProbe reports whether the stream is sent as a probe: the estimates of the engines' pace
 // exclude it, however little the engines have to do, and no stream was sent for some time.
-// Without trials, estimates that are far too high would last, since only streams that are sent
+// Without probes, estimates that are far too high would last, since only streams that are sent
 // correct them. A stream whose caller waits too briefly for a first event is rejected.
-func (s *stream) beginTrial(now clock.Time) bool {
+func (s *stream) beginPaceProbe(now clock.Time) bool {
 	if s.h.fixedPace != nil || s.call.ResumeOffset != "" || s.remaining(now) < s.grant.Route.Objective() || !s.excludedByPace(now) {
 		return false
 	}
-	if !s.h.paces.Of(s.service()).BeginTrial(now) {
+	if !s.h.paces.Of(s.service()).BeginProbe(now) {
 		return false
 	}
 	p := s.pace()
-	s.h.stats.trials.Inc(1)
+	s.h.stats.paceProbes.Inc(1)
 	s.h.log.Warn().Str("request", s.call.ID).Str("service", s.service()).Str("route", s.grant.Route.Name()).Int("prompt", s.call.Prompt).
 		Dur("left", s.remaining(now)).Dur("expected", p.TimeToFirstEvent(s.call.Prompt, p.EventInterval)).Dur("interval", p.EventInterval).
 		Msg("admit: stream is sent to test the estimates that exclude it")
--- a/ingress/trial_test.go
+++ b/ingress/pace_probe_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// Guards against trials that take engines' time on and on where the estimates are right.
-func TestTrialsOfSlowEnginesAreRare(t *testing.T) {
+// Guards against probes that take engines' time on and on where the estimates are right.
+func TestProbesOfSlowEnginesAreRare(t *testing.T) {
 	bubble(t, "slow engines", func(t *testing.T) {
 		s := &pacedSender{prefill: 8 * time.Second, interval: 30 * time.Millisecond}
 		h := newTestHandler(t, s, ragworthitch.CallStream)
@@ -100,8 +100,8 @@
 	})
 }
 
-// Guards against a trial for a caller that waits too briefly for a first event.
-func TestNoTrialWithoutTime(t *testing.T) {
+// Guards against a probe for a caller that waits too briefly for a first event.
+func TestNoProbeWithoutTime(t *testing.T) {
 	bubble(t, "caller in a hurry", func(t *testing.T) {
 		s := &pacedSender{prefill: 400 * time.Millisecond, interval: 30 * time.Millisecond}
 		h := newTestHandler(t, s, ragworthitch.CallStream)
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -123,7 +123,7 @@
 // prefill wait until an engine has room for them. done means that the call has ended.
 func (s *stream) nextTargetWithRoom(ctx context.Context) (m, replicaTarget *registry.Member, done bool) {
 	m, replicaTarget = s.nextTarget()
-	if m == nil || replicaTarget != nil || !s.grant.Differentiated || s.prefixCached(m) || s.isProbe || s.isTrial {
+	if m == nil || replicaTarget != nil || !s.grant.Differentiated || s.prefixCached(m) || s.isProbe || s.isPaceProbe {
 		return m, replicaTarget, false
 	}
 	s.unreserve() // an engine that was selected before but sent nothing
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -144,19 +144,19 @@
 	return max(scaled(share, a.intervalObjective), scaled(pauses, longest))
 }
 
-// expectedFirstEvent returns the expected time to first event; 0 if unknown, as in a trial.
+// expectedFirstEvent returns the expected time to first event; 0 if unknown, as in a probe.
 func (a *attempt) expectedFirstEvent(now clock.Time) time.Duration {
-	if a.s.isTrial {
+	if a.s.isPaceProbe {
 		return 0
 	}
 	p := a.s.pace()
 	return p.TimeToFirstEvent(a.prefillBacklog+a.prefillTokens, a.s.interval(a.member, p, now))
 }
 
-// firstEventTimeout returns the time to first event after which the stream fails over. A trial
+// firstEventTimeout returns the time to first event after which the stream fails over. A probe
 // waits as long as its caller, since the engines may be as slow as the estimates say.
 func (a *attempt) firstEventTimeout(now clock.Time) time.Duration {
-	if a.s.isTrial {
+	if a.s.isPaceProbe {
 		return a.s.deadline.Sub(a.startedAt)
 	}
 	expected := a.expectedFirstEvent(now)
--- a/ingress/stats.go
+++ b/ingress/stats.go
@@ -25,7 +25,7 @@
 	canaryAnswers, badCanaryAnswers               tally.Counter
 	keptFromRejected                              tally.Counter
 	failovers, replicaFailovers, abortedStreams   tally.Counter
-	shedStreams, queuedStreams, trials            tally.Counter
+	shedStreams, queuedStreams, paceProbes        tally.Counter
 	plainTime, firstEvent, failoverTime           durationRecorder
 	queueTime                                     durationRecorder
 	scope                                         tally.Scope
@@ -67,7 +67,7 @@
 		canaryAnswers: scope.Counter("rollout_answers"), badCanaryAnswers: scope.Counter("rollout_answers_bad"),
 		keptFromRejected: scope.Counter("kept_from_rejected_version"),
 		failovers:        scope.Counter("resumed"), replicaFailovers: scope.Counter("resumed_by_copy"), abortedStreams: scope.Counter("streams_cut"),
-		shedStreams: scope.Counter("streams_shed"), queuedStreams: scope.Counter("streams_queued"), trials: scope.Counter("streams_sent_as_trial"), queueTime: histogram("queue_time"),
+		shedStreams: scope.Counter("streams_shed"), queuedStreams: scope.Counter("streams_queued"), paceProbes: scope.Counter("pace_probes"), queueTime: histogram("queue_time"),
 		plainTime: histogram("plain_time"), firstEvent: histogram("first_event_time"), failoverTime: histogram("resume_time"),
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -52,7 +52,7 @@
 	refusedDials   int              // those of failedAttempts that ended before their target accepted a connection
 	endedEmpty     bool             // an attempt without a length ended without an event
 	totalEvents    int              // events of all attempts and those before the resume offset
-	isTrial        bool             // sent to test the estimates of the engines' pace, which exclude the stream
+	isPaceProbe    bool             // sent to test the estimates of the engines' pace, which exclude the stream
 }
 
 func newStream(c *activeCall) *stream {
@@ -71,7 +71,7 @@
 		s.unreserve()
 		s.endUsage()
 	}()
-	s.isTrial = s.beginTrial(clock.Now())
+	s.isPaceProbe = s.beginPaceProbe(clock.Now())
 	for {
 		m, replicaTarget, done := s.nextTargetWithRoom(ctx)
 		if done {
@@ -90,7 +90,7 @@
 			s.abort(ctx, http.StatusBadGateway, "no target available", nil)
 			return
 		}
-		if s.failedAttempts == 0 && !s.isTrial && s.missesDeadline(m) {
+		if s.failedAttempts == 0 && !s.isPaceProbe && s.missesDeadline(m) {
 			s.reject("cannot end in time", 0)
 			return
 		}
@@ -238,10 +238,10 @@
 		intervalObjective: s.intervalObjective(), rank: r.Rank, prefillTokens: prefillTokens,
 		fromStart: s.lastID == 0 && replicaTarget == nil, prefillBacklog: prefillBacklog, prefillDone: prefillDone,
 		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sendResult: make(chan error, 1)}
-	if p := s.pace(); !s.isTrial {
+	if p := s.pace(); !s.isPaceProbe {
 		a.expectedAtSend = p.TimeToFirstEvent(prefillBacklog+prefillTokens, p.EventInterval)
 	}
-	if a.fromStart && !s.isTrial {
+	if a.fromStart && !s.isPaceProbe {
 		s.h.paces.Of(s.service()).Sent(now)
 	}
 	go a.sendCatchingPanic(ctx, r)
--- a/pace/service.go
+++ b/pace/service.go
@@ -29,7 +29,7 @@
 		loadedInterval  quantile // mean event interval of an attempt, with other prefills, ms
 		shortAnswer     quantile // length of a short answer, as a share of the maximum
 		usualAnswer     quantile // length of a usual answer, as a share of the maximum
-		trials          trials
+		probes          probes
 	}
 
 	// Pace is a snapshot of a service's estimates. Unknown values are 0.
