--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -217,8 +217,8 @@
 }
 
 // observeEvent records the time of an event, from which the pace of the target and packet
-// loss on the link to its zone are learned. A delayed attempt teaches nothing any more: its
-// events were waiting here, and are read at once.
+// loss on the link to its zone are learned. A delayed attempt yields no more samples, since its
+// events waited at this instance and are then read all at once.
 func (a *attempt) observeEvent(readAt clock.Time) {
 	if a.delayed {
 		a.firstEventAt, a.lastEventAt = cmp.Or(a.firstEventAt, readAt), readAt
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -26,8 +26,8 @@
 // part in a decision. If only rejected versions have targets, calls are rejected at once.
 //
 // A rejected version that is ordered anew is judged anew, with the canary share, unless it was
-// found bad and has given maxBadBefore bad answers: then that order is rolled back at once. An order that is
-// completed readmits its version.
+// found bad and has given maxBadBefore bad answers: then that order is rolled back at once. An
+// order that is completed readmits its version.
 //
 // A status also names the versions that were in service when its order began: those of
 // completed orders, and those that had been there before the order. They are not on trial, so an
