ingress: logs and metrics say when the connection of an ended attempt is closed

The record of the incident leaves open whether the instance closed the connection to the first target late, whether the close arrived late, or whether the target went on. Only the decision and the next attempt were logged.

Change: a line, a counter and a histogram of the time from the end of an attempt until its connection is closed. No logic changes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -48,10 +49,11 @@
 		results        chan readResult
 		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
-		sendResult     chan error // result of Sender.Send, sent once
-		events         int        // events received
-		newEvents      int        // numbered events that the caller did not have yet
-		idleBytes      int        // size of the events since the last one that brought the caller anything new
+		sendResult     chan error   // result of Sender.Send, sent once
+		endedAt        atomic.Int64 // clock.Time at which the attempt ended at this instance; 0: not yet
+		events         int          // events received
+		newEvents      int          // numbered events that the caller did not have yet
+		idleBytes      int          // size of the events since the last one that brought the caller anything new
 		// headReceived is set with the head of the answer, which engines send when they
 		// start to generate.
 		headReceived     bool
@@ -110,6 +112,21 @@
 	if ctx.Err() != nil {
 		a.freeQueue() // runAttempt may have done so before the last result was added
 	}
+	a.recordClose()
+}
+
+// recordClose records and logs that the connection of an attempt that had ended before its
+// answer is closed.
+func (a *attempt) recordClose() {
+	endedAt := clock.Time(a.endedAt.Load())
+	if endedAt == 0 {
+		return
+	}
+	took := clock.Now().Sub(endedAt)
+	a.s.h.stats.closedConns.Inc(1)
+	a.s.h.stats.closeTime.Record(took)
+	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).
+		Msg("resume: connection of the ended attempt closed")
 }
 
 // send sends the attempt and passes everything received from the target to emitResult.
--- a/ingress/stats.go
+++ b/ingress/stats.go
@@ -27,7 +27,8 @@
 	failovers, replicaFailovers, abortedStreams        tally.Counter
 	shedStreams, queuedStreams, paceProbes             tally.Counter
 	plainTime, firstEvent, failoverTime                durationRecorder
-	queueTime                                          durationRecorder
+	queueTime, closeTime                               durationRecorder
+	closedConns                                        tally.Counter
 	scope                                              tally.Scope
 }
 
@@ -69,5 +70,6 @@
 		failovers:        scope.Counter("resumed"), replicaFailovers: scope.Counter("resumed_by_copy"), abortedStreams: scope.Counter("streams_cut"),
 		shedStreams: scope.Counter("streams_shed"), queuedStreams: scope.Counter("streams_queued"), paceProbes: scope.Counter("pace_probes"), queueTime: histogram("queue_time"),
 		plainTime: histogram("plain_time"), firstEvent: histogram("first_event_time"), failoverTime: histogram("resume_time"),
+		closedConns: scope.Counter("attempt_conns_closed"), closeTime: histogram("attempt_close_time"),
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -247,6 +247,7 @@
 	}
 	go a.sendCatchingPanic(ctx, r)
 	err := a.watch(ctx)
+	a.endedAt.Store(int64(clock.Now()))
 	cancel()
 	a.freeQueue()
 	resolved := a.resolveSendError(err)
