ingress, upstream, entry: the former target of a stream is stopped before the next one is asked

What callers saw: nothing but a pause. Two targets worked on one stream.

Cause: an attempt that is given up was only cancelled. Its connection was closed by the goroutine that reads from it, once that noticed the cancellation, which takes three goroutines their turns; the next attempt was sent meanwhile, at once where an idle connection was at hand. An instance with little processor time takes hundreds of milliseconds for that, at the moment when many streams fail over together. The product's own interface had the same order (its agent is told to cancel).

Change: runAttempt closes the answer itself and returns when that is done (attempt.stop). Closing a body is now safe while another goroutine reads it, and closes the socket before it returns. In the product's own interface the message to the agent is sent before the next attempt; a stalled connection to the agent delays that by 50 ms at most.

Why it works: the end of the first connection leaves the instance before the request to the second target, whatever the order of goroutines, and no wait for a goroutine's turn is added.

--- a/entry/sender.go
+++ b/entry/sender.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"path"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
@@ -17,6 +19,9 @@
 	"github.com/ragworthitch/ragworthitch/wire"
 )
 
+// maxCancelWait bounds the wait until an agent has been told that an attempt is cancelled.
+const maxCancelWait = 50 * time.Millisecond
+
 var (
 	errRowTaken      = errors.New("entry: stream taken over by another entry instance")
 	errTruncated     = errors.New("entry: the target ended the answer early")
@@ -91,15 +96,15 @@
 		ac.close(k)
 		return nil, fmt.Errorf("%w: %v", upstream.ErrSent, err)
 	}
-	ended := false // the target has sent the whole answer
+	var ended atomic.Bool // the target has sent the whole answer
 	events := func(emit func(ingress.Event) bool) error {
 		err := s.forwardTokens(ctx, st, q, len(prefix), emit)
-		ended = err == nil
+		ended.Store(err == nil)
 		return err
 	}
 	body := ingress.EmptyBody(func() {
 		ac.close(k)
-		if !ended {
+		if !ended.Load() {
 			st.markInterrupted()
 			s.cancel(st, ac, k)
 		}
@@ -107,8 +112,22 @@
 	return &ingress.Reply{Status: http.StatusOK, Body: body, Delimited: true, Events: events}, nil
 }
 
-// cancel tells an agent to cancel an attempt.
+// cancel tells an agent to cancel an attempt, and returns when the message is sent, or after
+// maxCancelWait if the connection to the agent is stalled: the stream goes on elsewhere then.
 func (s sender) cancel(st *Stream, ac *agentConn, k attemptKey) {
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		s.sendCancel(st, ac, k)
+	}()
+	select {
+	case <-sent:
+	case <-time.After(maxCancelWait):
+		st.log.Warn().Int("attempt", k.attempt).Msg("resume: message that cancels the attempt waits; the connection to its agent is stalled")
+	}
+}
+
+func (s sender) sendCancel(st *Stream, ac *agentConn, k attemptKey) {
 	err := ac.conn.Send(s.e.streamContext(), wire.Message{Type: wire.TypeCancel, RequestID: k.id, Attempt: k.attempt})
 	if err != nil {
 		st.log.Debug().Err(err).Int("attempt", k.attempt).Msg("resume: cannot cancel attempt; the connection to its agent is lost")
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -49,11 +48,10 @@
 		results        chan readResult
 		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
-		sendResult     chan error   // result of Sender.Send, sent once
-		endedAt        atomic.Int64 // clock.Time at which the attempt ended at this instance; 0: not yet
-		events         int          // events received
-		newEvents      int          // numbered events that the caller did not have yet
-		idleBytes      int          // size of the events since the last one that brought the caller anything new
+		sent           chan sendResult // result of Sender.Send, sent once
+		events         int             // events received
+		newEvents      int             // numbered events that the caller did not have yet
+		idleBytes      int             // size of the events since the last one that brought the caller anything new
 		// headReceived is set with the head of the answer, which engines send when they
 		// start to generate.
 		headReceived     bool
@@ -68,6 +66,12 @@
 		delayed bool
 	}
 
+	// sendResult is the result of Sender.Send.
+	sendResult struct {
+		reply *Reply
+		err   error
+	}
+
 	// readResult is one thing received from the target: the head of the answer, an event
 	// or the end. If the answer is no stream, the event's Raw is the whole body.
 	readResult struct {
@@ -104,7 +108,7 @@
 	}
 	if err := a.s.h.catchPanic(a.s.call.ID, func() { a.send(ctx, r, emitResult) }); err != nil {
 		select {
-		case a.sendResult <- err:
+		case a.sent <- sendResult{err: err}:
 		default: // the result is there already
 		}
 		emitResult(readResult{err: err, end: true})
@@ -112,27 +116,37 @@
 	if ctx.Err() != nil {
 		a.freeQueue() // runAttempt may have done so before the last result was added
 	}
-	a.recordClose()
 }
 
-// recordClose records and logs that the connection of an attempt that had ended before its
-// answer is closed.
-func (a *attempt) recordClose() {
-	endedAt := clock.Time(a.endedAt.Load())
-	if endedAt == 0 {
-		return
+// stop stops the target's work for an attempt that has ended with err, and returns the error with
+// which the attempt was sent. The connection is closed when stop returns: the goroutine that
+// reads from it may notice the end of the context much later, and until then the target would
+// work beside that of the next attempt.
+func (a *attempt) stop(cancel context.CancelFunc, err error) error {
+	endedAt := clock.Now()
+	cancel()
+	sent := <-a.sent
+	if sent.reply != nil {
+		sent.reply.Body.Close() // fails only if the connection is closed already
+	}
+	if err != nil {
+		a.recordStop(clock.Now().Sub(endedAt))
 	}
-	took := clock.Now().Sub(endedAt)
+	return sent.err
+}
+
+// recordStop records and logs that the attempt's connection was closed after the given time.
+func (a *attempt) recordStop(took time.Duration) {
 	a.s.h.stats.closedConns.Inc(1)
 	a.s.h.stats.closeTime.Record(took)
-	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).
+	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).Int("unread", len(a.results)).
 		Msg("resume: connection of the ended attempt closed")
 }
 
 // send sends the attempt and passes everything received from the target to emitResult.
 func (a *attempt) send(ctx context.Context, r *AttemptRequest, emitResult func(readResult) bool) {
 	reply, err := a.s.activeCall.send(ctx, r)
-	a.sendResult <- err
+	a.sent <- sendResult{reply: reply, err: err}
 	if err != nil {
 		emitResult(readResult{err: err, end: true})
 		return
@@ -198,17 +212,14 @@
 }
 
 // resolveSendError returns err. If the attempt was cancelled while its connection was
-// still being opened, the call has not run, and the result also wraps the error of the
-// connection.
-func (a *attempt) resolveSendError(err error) error {
-	if err == nil || a.headReceived || errors.Is(err, upstream.ErrNotSent) {
+// still being opened, the call has not run, and the result also wraps sendErr, the error of
+// the connection.
+func (a *attempt) resolveSendError(err, sendErr error) error {
+	if err == nil || a.headReceived || errors.Is(err, upstream.ErrNotSent) || !errors.Is(sendErr, upstream.ErrNotSent) {
 		return err
 	}
-	if sendErr := <-a.sendResult; errors.Is(sendErr, upstream.ErrNotSent) {
-		a.s.revertAttempt()
-		return fmt.Errorf("%w: %w", sendErr, err)
-	}
-	return err
+	a.s.revertAttempt()
+	return fmt.Errorf("%w: %w", sendErr, err)
 }
 
 // watch forwards events until the attempt ends or its target is lost or silent.
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -71,8 +72,10 @@
 		// WrongTarget means that another target answered at the address.
 		WrongTarget bool
 		Header      http.Header // passed on to the caller
-		Body        io.ReadCloser
-		Delimited   bool // the body has a length or an end mark, so that a truncated body is detected
+		// Body may be closed more than once, and while another goroutine reads it or the Events.
+		// When Close returns, the target has been told to stop, unless it has sent the whole answer.
+		Body      io.ReadCloser
+		Delimited bool // the body has a length or an end mark, so that a truncated body is detected
 		// CheckTarget, set if the body is not delimited, returns an error if the target that
 		// sent the reply is gone, and registry.ErrBackoff if it may not be asked.
 		CheckTarget func(ctx context.Context) error
@@ -156,9 +159,9 @@
 	close func()
 }
 
-// EmptyBody returns a body without bytes. close is called when the reply is closed,
+// EmptyBody returns a body without bytes. close is called when the reply is first closed,
 // whether its events were read or not.
-func EmptyBody(close func()) io.ReadCloser { return emptyBody{http.NoBody, close} }
+func EmptyBody(close func()) io.ReadCloser { return emptyBody{http.NoBody, sync.OnceFunc(close)} }
 
 // Close runs the function given to EmptyBody.
 func (b emptyBody) Close() error {
--- a/ingress/stop_test.go
+++ b/ingress/stop_test.go
@@ -64,7 +64,11 @@
 		return &Reply{Status: http.StatusOK, Delimited: true, Header: head, Body: s.first}, nil
 	}
 	s.openAtNextSend = s.openAtNextSend || !s.first.isClosed()
-	return &Reply{Status: http.StatusOK, Delimited: true, Header: head, Body: body("id: 2\ndata: b\n\n")}, nil
+	events := "id: 1\ndata: a\n\nid: 2\ndata: a\n\n"
+	if r.ResumeOffset == "1" {
+		_, events, _ = strings.Cut(events, "\n\n")
+	}
+	return &Reply{Status: http.StatusOK, Delimited: true, Header: head, Body: body(events)}, nil
 }
 
 // CheckConnection succeeds, since the target lives.
@@ -78,6 +82,6 @@
 	w, cut := serve(h, &Call{ID: "call", Method: "POST", Host: "h", Path: "/p/x", Header: http.Header{}, Prompt: 10, Received: clock.Now()})
 	defer s.first.Close()
 	require.False(t, cut)
-	assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", w.Body.String())
+	assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: a\n\n", w.Body.String())
 	assert.False(t, s.openAtNextSend, "the first target still worked when the second one was asked")
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -210,7 +210,7 @@
 // the complete stream, or another answer in its place.
 func (s *stream) runAttempt(parent context.Context, member, replicaTarget *registry.Member, permit ratelimit.Permit, isTest bool) (*attempt, error) {
 	ctx, cancel := context.WithCancel(parent)
-	defer cancel() // closes the connection, so that the target stops its work
+	defer cancel() // also if watch panics
 	now := clock.Now()
 	r := &AttemptRequest{Call: s.call, Target: member.Target(), Member: member, Org: s.grant.Org, Remaining: s.remaining(now), Rank: s.rank(member, replicaTarget), Permit: permit, HealthPath: s.grant.Service.HealthPath(), isTest: isTest}
 	if s.lastID > 0 {
@@ -237,7 +237,7 @@
 	a := &attempt{s: s, member: member, replicaTarget: replicaTarget, startedAt: now, sentWallTime: time.Now(), lastActivityAt: now,
 		intervalObjective: s.intervalObjective(), rank: r.Rank, prefillTokens: prefillTokens,
 		fromStart: s.lastID == 0 && replicaTarget == nil, prefillBacklog: prefillBacklog, prefillDone: prefillDone,
-		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sendResult: make(chan error, 1)}
+		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sent: make(chan sendResult, 1)}
 	if !s.isPaceProbe {
 		p := s.pace()
 		a.expectedAtSend = p.TimeToFirstEvent(prefillBacklog+prefillTokens, p.EventInterval)
@@ -247,10 +247,9 @@
 	}
 	go a.sendCatchingPanic(ctx, r)
 	err := a.watch(ctx)
-	a.endedAt.Store(int64(clock.Now()))
-	cancel()
+	sendErr := a.stop(cancel, err)
 	a.freeQueue()
-	resolved := a.resolveSendError(err)
+	resolved := a.resolveSendError(err, sendErr)
 	tooLong := parent.Err() == nil && s.judgeTooLong(member, now, err)
 	failedAtTarget := !tooLong && !errors.Is(resolved, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errNotAccepted)
 	if err != nil && parent.Err() == nil && failedAtTarget {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -110,14 +111,15 @@
 	socketKey struct{}
 
 	// body is a response body whose Close returns the connection to its pool if
-	// the body is complete, and closes the connection otherwise.
+	// the body is complete, and closes the connection otherwise. Close may be called while
+	// another goroutine reads, and more than once; the connection is closed when it returns.
 	body struct {
 		io.ReadCloser
 		poolConn *conn
 		endWatch func() bool // ends the watch for the end of the request's context
 		last     bool        // the target closes the connection after it
-		complete bool        // read to its end
-		closed   bool
+		complete atomic.Bool // read to its end
+		close    sync.Once
 	}
 )
 
@@ -230,10 +232,8 @@
 // Discard closes the connection of a response that does not belong to the
 // request sent on it.
 func Discard(resp *http.Response) {
-	if b, ok := resp.Body.(*body); ok && !b.closed {
-		b.closed = true
-		b.endWatch()
-		b.poolConn.close()
+	if b, ok := resp.Body.(*body); ok {
+		b.close.Do(b.discard)
 	}
 }
 
@@ -351,7 +351,7 @@
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case err == io.EOF:
-		b.complete = true
+		b.complete.Store(true)
 	case err != nil:
 		err = BodyError(err)
 	}
@@ -359,20 +359,29 @@
 }
 
 func (b *body) Close() error {
-	if b.closed {
+	var err error
+	b.close.Do(func() { err = b.release() })
+	return err
+}
+
+// release returns the connection to its pool, or closes it.
+func (b *body) release() error {
+	if !b.complete.Load() || b.last { // net/http notices only later that it was the last
+		b.discard()
 		return nil
 	}
-	b.closed = true
 	b.endWatch()
-	if !b.complete || b.last { // net/http notices only later that it was the last
-		b.poolConn.close()
-		return nil
-	}
 	err := b.ReadCloser.Close()
 	b.poolConn.pool.putIdle(b.poolConn)
 	return err
 }
 
+// discard closes the connection.
+func (b *body) discard() {
+	b.endWatch()
+	b.poolConn.close()
+}
+
 // dial opens a connection and stores it where the socketKey value of ctx points.
 func dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := net.Dialer{Control: DialControl}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -246,3 +246,27 @@
 		resp.Body.Close()
 	}
 }
+
+// A target must not work on after its answer was closed: the connection is closed when Close
+// returns, though another goroutine is reading, and the connection is not counted twice.
+func TestCloseWhileReading(t *testing.T) {
+	p, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	for range 50 {
+		resp, err := p.Do(request(t, t.Context(), p.Addr(), "/"), Hooks{})
+		require.NoError(t, err)
+		readEnded := make(chan error)
+		go func() {
+			_, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			readEnded <- err
+		}()
+		resp.Body.Close()
+		assert.ErrorIs(t, resp.Body.(*body).poolConn.sock.SetDeadline(time.Now()), net.ErrClosed)
+		assert.Error(t, <-readEnded)
+		assert.Equal(t, 0, p.Open())
+	}
+}
