--- a/ingress/handover_test.go
+++ b/ingress/handover_test.go
@@ -160,6 +160,7 @@
 		sentAt    clock.Time
 		endedAt   clock.Time // when the target or the instance ended the attempt; 0: it has not been noticed
 		stopped   chan struct{}
+		closeOnce sync.Once
 		stoppedAt clock.Time // guarded by s.mu; 0: not stopped
 	}
 
@@ -331,17 +332,17 @@
 	c.endedAt = cmp.Or(c.endedAt, clock.Now())
 }
 
-// close closes the connection, which takes a while.
+// close closes the connection, which takes a while. Closing it again takes no time.
 func (c *handoverConn) close() {
 	c.noteEnd()
-	c.s.awaitResume()
-	time.Sleep(c.closing)
-	c.s.mu.Lock()
-	defer c.s.mu.Unlock()
-	if c.stoppedAt == 0 {
+	c.closeOnce.Do(func() {
+		c.s.awaitResume()
+		time.Sleep(c.closing)
+		c.s.mu.Lock()
+		defer c.s.mu.Unlock()
 		c.stoppedAt = clock.Now()
 		close(c.stopped)
-	}
+	})
 }
 
 // answer returns what Send returns after the first signal.
