ingress, upstream: the end of an attempt says what of its target had arrived unseen

The line on the closed connection did not say whether the target had been silent or its events had waited at this instance.

Change: 'queued' counts events that were read and not looked at, 'unread' says whether bytes waited in the socket. A second closer of a body without bytes waits on a channel, so that tests with fake time see the wait.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -126,20 +126,23 @@
 	endedAt := clock.Now()
 	cancel()
 	sent := <-a.sent
+	unread := false
 	if sent.reply != nil {
+		unread = err != nil && sent.reply.hasUnread()
 		sent.reply.Body.Close() // fails only if the connection is closed already
 	}
 	if err != nil {
-		a.recordStop(clock.Now().Sub(endedAt))
+		a.recordStop(clock.Now().Sub(endedAt), unread)
 	}
 	return sent.err
 }
 
 // recordStop records and logs that the attempt's connection was closed after the given time.
-func (a *attempt) recordStop(took time.Duration) {
+// unread means that bytes had arrived that nobody had read.
+func (a *attempt) recordStop(took time.Duration, unread bool) {
 	a.s.h.stats.closedConns.Inc(1)
 	a.s.h.stats.closeTime.Record(took)
-	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).Int("unread", len(a.results)).
+	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).Int("queued", len(a.results)).Bool("unread", unread).
 		Msg("resume: connection of the ended attempt closed")
 }
 
--- a/ingress/call.go
+++ b/ingress/call.go
@@ -12,7 +12,7 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -79,6 +79,9 @@
 		// CheckTarget, set if the body is not delimited, returns an error if the target that
 		// sent the reply is gone, and registry.ErrBackoff if it may not be asked.
 		CheckTarget func(ctx context.Context) error
+		// HasUnread reports whether a part of the body has arrived that nobody has read yet;
+		// nil: unknown.
+		HasUnread func() bool
 		// Events passes the events of the stream to emit until emit returns false. It
 		// returns nil if the target ended the stream. If Events is nil, the body is a
 		// text/event-stream.
@@ -156,16 +159,25 @@
 // emptyBody is the body of a reply that delivers its events through Reply.Events.
 type emptyBody struct {
 	io.Reader
-	close func()
+	onClose func()
+	closing atomic.Bool
+	closed  chan struct{} // closed when onClose has returned
 }
 
-// EmptyBody returns a body without bytes. close is called when the reply is first closed,
+// EmptyBody returns a body without bytes. onClose is called once, when the reply is first closed,
 // whether its events were read or not.
-func EmptyBody(close func()) io.ReadCloser { return emptyBody{http.NoBody, sync.OnceFunc(close)} }
+func EmptyBody(onClose func()) io.ReadCloser {
+	return &emptyBody{Reader: http.NoBody, onClose: onClose, closed: make(chan struct{})}
+}
 
-// Close runs the function given to EmptyBody.
-func (b emptyBody) Close() error {
-	b.close()
+// Close runs the function given to EmptyBody, or waits for it if it runs already.
+func (b *emptyBody) Close() error {
+	if !b.closing.CompareAndSwap(false, true) {
+		<-b.closed
+		return nil
+	}
+	defer close(b.closed)
+	b.onClose()
 	return nil
 }
 
@@ -177,6 +189,9 @@
 	return readEvents(r.Body, emit)
 }
 
+// hasUnread reports whether a part of the body is known to have arrived that nobody has read.
+func (r *Reply) hasUnread() bool { return r.HasUnread != nil && r.HasUnread() }
+
 // isFailure reports whether the target failed to serve the call.
 func (r *Reply) isFailure() bool { return r.Status >= http.StatusInternalServerError }
 
--- a/upstream/sockets.go
+++ b/upstream/sockets.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/http"
 	"syscall"
 	"time"
 
@@ -24,3 +25,25 @@
 	}
 	return sockErr
 }
+
+// HasUnread reports whether the target has sent bytes of a response from a Pool that have
+// arrived and that nobody has read yet. It is false if that can't be told.
+func HasUnread(resp *http.Response) bool {
+	b, ok := resp.Body.(*body)
+	if !ok {
+		return false
+	}
+	sc, ok := b.poolConn.sock.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
