ingress: an answer that is cut off when its call ends no longer looks complete

What callers saw: at the deadline of a call whose caller reads slowly, a part of the answer, ended as if it were whole. Found by TestHandover.

Cause: when the call ends, reading stops because nobody takes the events any more, which readEvents reports as an end without an error. The sender passed that on, and watch chose at random between this end and the end of the call.

Change: nothing is passed on once the attempt's context has ended.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -95,8 +95,8 @@
 // the error that ends the attempt.
 func (a *attempt) sendCatchingPanic(ctx context.Context, r *AttemptRequest) {
 	emitResult := func(result readResult) bool {
-		if !a.reserveSpace(ctx, &result) {
-			return false
+		if ctx.Err() != nil || !a.reserveSpace(ctx, &result) {
+			return false // an end that follows a cancellation is not the target's
 		}
 		select {
 		case a.results <- result:
