ingress: a target is not given up while something of it waits to be read

What callers saw: a pause, while the stream went on elsewhere though its target was well; with the fault before, two targets at work.

Cause: watch chose at random between events that were ready and a timer or a verdict that its target was lost; what waited in the socket was not looked at at all. On an instance that stands still for less than 250 ms, or gets its turn late, the instance's own delay looked like the target's silence. Borrowing a retry takes a while, too, and its verdict was not looked at again.

Change: before a target is given up as silent or lost, and again after a retry was borrowed, the attempt looks at what has arrived. What arrives withdraws a verdict, and the next one counts again.

Measured: TestTargetOfWaitingEventsIsNotSilent 52 of 100 streams before, none now; TestEventWhileRetryIsBorrowed failed in every run before, passes now. Package ingress passes whole.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -56,8 +56,9 @@
 		// start to generate.
 		headReceived     bool
 		headReceivedAt   clock.Time
-		targetLost       bool // the target was found lost, and nothing has been received since
-		overBudgetLogged bool // the exhausted retry budget has been logged
+		targetLost       bool   // the target was found lost, and nothing has been received since
+		overBudgetLogged bool   // the exhausted retry budget has been logged
+		reply            *Reply // nil: the head has not been received
 		decodeIntervals  decodeIntervals
 		paceRecorded     bool // the pace of the target's version has been recorded
 		failureRecorded  bool // a failure of the target's version has been recorded
@@ -247,10 +248,13 @@
 		case result := <-a.results:
 			now := clock.Now()
 			a.noteDelay(wait, now.Sub(timerSetAt))
+			if a.targetLost {
+				lost = a.member.Health().NextFailure() // what arrives shows that it was not
+			}
 			a.lastActivityAt, a.targetLost = now, false
 			if result.reply != nil {
 				head = result.reply
-				a.headReceived, a.headReceivedAt = true, now
+				a.reply, a.headReceived, a.headReceivedAt = head, true, now
 			}
 			if result.end {
 				defer a.freeSpace(result)
@@ -267,12 +271,12 @@
 				}
 			}
 		case failure := <-a.connFailures:
-			if failure.checkedAt > a.lastActivityAt {
+			if failure.checkedAt > a.lastActivityAt && !a.hasUnseen() {
 				s.eject(a.member, health.CauseSilent, failure.err)
 			}
 		case <-lost:
 			now := clock.Now()
-			if a.reserveFailover(ctx, now) {
+			if a.mayFailOver(ctx, now) {
 				return errTargetLost
 			}
 			lost, a.targetLost = nil, true
