poison: a single crash with weak evidence stays at the instance that observed it

What callers saw: on large deployments, late and failed streams.

Cause: since each stream that loses its target leaves a crash with weak evidence, for its request and each part of its prompt. Each was reported to all peers, and by each of them to its own, logged and weighed there: instances x peers x lost streams at the moment when a zone is lost. Rows in the store had been spared that; views had not.

Change: peers learn of a suspect's weak crashes from its second one on, as the store does; a request that ends its targets has two within one call. Strong evidence is reported as before.

--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -17,9 +17,10 @@
 const (
 	// maxStoredCrashes bounds the crashes of one suspect that are written to the store.
 	maxStoredCrashes = 8
-	// minStoredWeakCrashes is the number of crashes of a suspect from which weak ones are
-	// written to the store: all streams at a target that crashes have one.
-	minStoredWeakCrashes = 2
+	// minSharedWeakCrashes is the number of crashes of a suspect from which weak ones are
+	// reported to peers and written to the store: all streams at a target that crashes have one,
+	// and each peer reports to others what is new to it.
+	minSharedWeakCrashes = 2
 	// maxReleasedBoots bounds the crashes of one suspect that are known not to count.
 	maxReleasedBoots = 1024
 )
@@ -74,6 +75,7 @@
 		org             string
 		service         string
 		crashes         map[ragworthitch.Boot]*crashRecord
+		unreported      []loggedCrash // crashes that the log for peers does not have
 		quarantined     bool
 		contested       bool  // other requests had just begun at targets that crashed
 		threshold       int   // crashes with strong evidence that quarantine the suspect, at the last evaluation
@@ -243,7 +245,7 @@
 
 // RecordOwnCrash records a crash that this instance observed under a request, against the
 // request and against each part of its prompt. c has the other data of the crash. It reports
-// whether the crash was unknown.
+// whether peers have to learn of it.
 func (t *Tracker) RecordOwnCrash(r Request, c Crash, now clock.Time) bool {
 	c.Fingerprint, c.Org, c.Service = r.Fingerprint, r.Org, r.Service
 	crashes := []Crash{c}
@@ -263,25 +265,40 @@
 }
 
 // RecordCrashes records crashes that this instance observed or a peer reported. It reports
-// whether any of them was unknown.
+// whether peers have to learn of any.
 func (t *Tracker) RecordCrashes(crashes []Crash, source Source, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	anyNew, mayDecide := false, false
+	anyNews, mayDecide := false, false
 	for _, c := range crashes {
 		if source == SourceOwn && (c.Part == "" || c.isWeak()) {
 			c.RecentSuccesses = t.successes.recent(c.run(PastStart), now)
 		}
 		if t.addCrash(c, source, now) {
-			anyNew = true
-			mayDecide = mayDecide || !c.isWeak() || len(t.suspects[c.Fingerprint].crashes) >= minCrashThreshold
-			t.crashLog.add(loggedCrash{c, now.Add(-c.Age)})
+			s := t.suspects[c.Fingerprint]
+			s.unreported = append(s.unreported, loggedCrash{c, now.Add(-c.Age)})
+			anyNews = t.reportCrashes(s) || anyNews
+			mayDecide = mayDecide || !c.isWeak() || len(s.crashes) >= minCrashThreshold
 		}
 	}
 	if mayDecide {
 		t.evaluate(now)
 	}
-	return anyNew
+	return anyNews
+}
+
+// reportCrashes adds the suspect's crashes that peers do not know yet to the log for peers, and
+// reports whether there are any. A single crash with weak evidence stays here; t.mu is held.
+func (t *Tracker) reportCrashes(s *suspect) bool {
+	isStrong := func(c loggedCrash) bool { return !c.isWeak() }
+	if len(s.crashes) < minSharedWeakCrashes && !slices.ContainsFunc(s.unreported, isStrong) {
+		return false
+	}
+	for _, c := range s.unreported {
+		t.crashLog.add(c)
+	}
+	s.unreported = nil
+	return true
 }
 
 // storeCrashes queues the crashes that this instance observed, and that count, for the
@@ -289,7 +306,7 @@
 func (t *Tracker) storeCrashes(s *suspect, now clock.Time) {
 	counted := s.countedCrashes(now)
 	for _, c := range counted {
-		if c.isWeak() && len(counted) < minStoredWeakCrashes {
+		if c.isWeak() && len(counted) < minSharedWeakCrashes {
 			continue
 		}
 		if c.observedHere && !c.storeQueued && len(s.crashes) <= maxStoredCrashes {
