ingress: events that wait when a call ends are not dropped between those that are sent

What callers saw: at the deadline of a call, or of a stream that an instance was slow to forward, an event missing in the middle of what was sent.

Cause: once the call's context had ended, the sender freed the queue of events while watch still took from it.

Change: the sender frees the queue when watch has returned; nobody else does.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -49,6 +49,7 @@
 		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
 		sent           chan sendResult // result of Sender.Send, sent once
+		watchEnded     chan struct{}   // closed when watch has returned
 		events         int             // events received
 		newEvents      int             // numbered events that the caller did not have yet
 		idleBytes      int             // size of the events since the last one that brought the caller anything new
@@ -114,9 +115,8 @@
 		}
 		emitResult(readResult{err: err, end: true})
 	}
-	if ctx.Err() != nil {
-		a.freeQueue() // runAttempt may have done so before the last result was added
-	}
+	<-a.watchEnded // what watch does not see it must not miss between what it sees
+	a.freeQueue()
 }
 
 // stop stops the target's work for an attempt that has ended with err, and returns the error with
@@ -194,7 +194,8 @@
 	a.queueSpace.Release(result.space)
 }
 
-// freeQueue frees the space of the results that were not read.
+// freeQueue frees the space of the results that watch did not read. Only the sender calls it, once
+// it adds no more.
 func (a *attempt) freeQueue() {
 	for {
 		select {
@@ -228,6 +229,7 @@
 
 // watch forwards events until the attempt ends or its target is lost or silent.
 func (a *attempt) watch(ctx context.Context) error {
+	defer close(a.watchEnded)
 	s := a.s
 	lost, bootEnded := a.member.Health().NextFailure(), a.member.Life().Done()
 	quarantined, stopWaiting := s.h.poisonTracker.Await(s.request)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -237,7 +237,7 @@
 	a := &attempt{s: s, member: member, replicaTarget: replicaTarget, startedAt: now, sentWallTime: time.Now(), lastActivityAt: now,
 		intervalObjective: s.intervalObjective(), rank: r.Rank, prefillTokens: prefillTokens,
 		fromStart: s.lastID == 0 && replicaTarget == nil, prefillBacklog: prefillBacklog, prefillDone: prefillDone,
-		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sent: make(chan sendResult, 1)}
+		results: make(chan readResult, eventQueueSize), queueSpace: semaphore.NewWeighted(maxQueuedBytes), connFailures: make(chan connFailure), sent: make(chan sendResult, 1), watchEnded: make(chan struct{})}
 	if !s.isPaceProbe {
 		p := s.pace()
 		a.expectedAtSend = p.TimeToFirstEvent(prefillBacklog+prefillTokens, p.EventInterval)
@@ -248,7 +248,6 @@
 	go a.sendCatchingPanic(ctx, r)
 	err := a.watch(ctx)
 	sendErr := a.stop(cancel, err)
-	a.freeQueue()
 	resolved := a.resolveSendError(err, sendErr)
 	tooLong := parent.Err() == nil && s.judgeTooLong(member, now, err)
 	failedAtTarget := !tooLong && !errors.Is(resolved, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errNotAccepted)
