emulator, experiment: count the streams on which two engines work at once

The engines of a cluster now record the runs of each stream, by what they see: a run begins with its admission into the batch and ends with the answer, the end of the connection, a crash or the loss of power. The result has the runs handed over, the streams with two engines at work, those for longer than the stated 400 ms, and the longest time; cmd/experiment prints them. TestWorkloads asks for none over 400 ms on every workload whose links lose no packets. The variant closesLate is the seeded fault: connections of attempts that were given up seem closed and stay open for 500 ms; TestLateCloseIsFound asks that it is found.

--- a/cmd/experiment/report.go
+++ b/cmd/experiment/report.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	tableHeader = `| load | variant | streams | on time | worst 3 s | late | failed | first event p50, p99 ms | pause p99 ms | tokens read again | preempted |
-|---|---|---|---|---|---|---|---|---|---|---|`
+	tableHeader = `| load | variant | streams | on time | worst 3 s | late | failed | first event p50, p99 ms | pause p99 ms | tokens read again | preempted | handed over | two engines at once | over 400 ms, longest ms |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
 	groupHeader = `| load | variant | streams of | asked | in time | late | rejected | failed | mean wait ms | in vain: preempted | cancelled as silent | engine lost | caller gone | after first event |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|`
 )
@@ -37,6 +37,15 @@
 		Priorities    []groupJSON `json:"priorities"`
 		Orgs          []groupJSON `json:"orgs,omitempty"`
 		Settled       groupJSON   `json:"enginesBack"`
+		Overlaps      overlapJSON `json:"overlaps"`
+	}
+
+	// overlapJSON is an emulator.Overlaps in JSON.
+	overlapJSON struct {
+		Handovers int   `json:"handovers"`
+		Streams   int   `json:"streams"`
+		TooLong   int   `json:"tooLong"`
+		LongestMs int64 `json:"longestMs"`
 	}
 
 	// groupJSON is an experiment.Group in JSON.
@@ -80,8 +89,9 @@
 
 func tableRow(workload string, r experiment.Result) string {
 	ms := func(d time.Duration) int64 { return d.Milliseconds() }
-	return fmt.Sprintf("| %s | %s | %d | %.3f | %.2f | %d | %d | %d, %d | %d | %d | %d |", workload, r.Variant, r.Streams, r.Share(), r.WorstShare,
-		r.Late, r.Failed, ms(r.TimeToFirst.P50), ms(r.TimeToFirst.P99), ms(r.LongestInterval.P99), r.RepeatedPrefill, r.Preemptions)
+	return fmt.Sprintf("| %s | %s | %d | %.3f | %.2f | %d | %d | %d, %d | %d | %d | %d | %d | %d | %d, %d |", workload, r.Variant, r.Streams, r.Share(), r.WorstShare,
+		r.Late, r.Failed, ms(r.TimeToFirst.P50), ms(r.TimeToFirst.P99), ms(r.LongestInterval.P99), r.RepeatedPrefill, r.Preemptions,
+		r.Overlaps.Handovers, r.Overlaps.Streams, r.Overlaps.TooLong, ms(r.Overlaps.Longest))
 }
 
 // offline prints what the offline scheduler has in time, for comparison.
@@ -122,7 +132,8 @@
 // writeJSON writes a result as one line of JSON.
 func writeJSON(out io.Writer, workload string, r experiment.Result) error {
 	return json.NewEncoder(out).Encode(resultJSON{Load: workload, Variant: r.Variant, Streams: r.Streams, Share: r.Share(), WeightedShare: r.WeightedShare(),
-		WorstShare: r.WorstShare, PrefillTokens: r.PrefillTokens, Preemptions: r.Preemptions, Priorities: encodeGroups(r.Priorities), Orgs: encodeGroups(r.Orgs), Settled: encodeGroup(r.Settled)})
+		WorstShare: r.WorstShare, PrefillTokens: r.PrefillTokens, Preemptions: r.Preemptions, Priorities: encodeGroups(r.Priorities), Orgs: encodeGroups(r.Orgs), Settled: encodeGroup(r.Settled),
+		Overlaps: overlapJSON{Handovers: r.Overlaps.Handovers, Streams: r.Overlaps.Streams, TooLong: r.Overlaps.TooLong, LongestMs: r.Overlaps.Longest.Milliseconds()}})
 }
 
 func encodeGroups(groups []experiment.Group) []groupJSON {
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -51,9 +51,17 @@
 		// nil: not called.
 		OnAttemptEnd func(call *ingress.Call, usage Usage)
 
+		// CloseTime is how long entry instances take to close the connection of an attempt
+		// that they give up.
+		CloseTime time.Duration
+		// CloseUnseen makes such a connection seem closed at once.
+		CloseUnseen bool
+
 		mu   sync.Mutex
 		loss map[string]float64 // share of packets lost between a zone and the others
 		rng  *rand.Rand
+
+		overlaps overlapCounter
 	}
 
 	// Sender is the ingress.Sender of an entry instance in a zone.
@@ -75,7 +83,7 @@
 	c := &Cluster{service: service, profile: profile, nodes: map[string]*Node{}, loss: map[string]float64{}, rng: rand.New(rand.NewPCG(1, 3))}
 	for i := range engines {
 		addr := fmt.Sprintf("127.0.1.%d:80", i+1)
-		c.nodes[addr] = &Node{Engine: NewEngine(profile), Addr: addr, Zone: zones[i%len(zones)]}
+		c.nodes[addr] = &Node{Engine: newEngine(profile, &c.overlaps), Addr: addr, Zone: zones[i%len(zones)]}
 	}
 	return c
 }
@@ -157,7 +165,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		c.endAttempt(ctx, n, generation, r.Call)
+		c.close(ctx, n, generation, r.Call)
 		return nil, fmt.Errorf("%w: %w", upstream.ErrSent, errCallerGone)
 	case <-generation.FirstToken():
 	case <-generation.done:
@@ -170,7 +178,21 @@
 		time.AfterFunc(crashDelay, func() { c.OnCrash(n) })
 	}
 	events := func(emit func(ingress.Event) bool) error { return c.forwardEvents(ctx, n, generation, emit) }
-	return &ingress.Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: ingress.EmptyBody(func() { c.endAttempt(ctx, n, generation, r.Call) }), Delimited: true, Events: events}, nil
+	return &ingress.Reply{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: ingress.EmptyBody(func() { c.close(ctx, n, generation, r.Call) }), Delimited: true, Events: events}, nil
+}
+
+// close closes the connection of an attempt, which the engine sees at once.
+func (c *Cluster) close(ctx context.Context, n *Node, g *Generation, call *ingress.Call) {
+	end := func() { c.endAttempt(ctx, n, g, call) }
+	switch {
+	case c.CloseTime == 0 || g.hasEnded():
+		end()
+	case c.CloseUnseen:
+		time.AfterFunc(c.CloseTime, end)
+	default:
+		time.Sleep(c.CloseTime)
+		end()
+	}
 }
 
 // endAttempt stops an attempt's generation unless it has ended, and reports its usage.
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -35,8 +35,9 @@
 	// Engine is an emulated engine. Create it with NewEngine and call Run to
 	// drive it.
 	Engine struct {
-		profile Profile
-		wake    chan struct{}
+		profile  Profile
+		wake     chan struct{}
+		overlaps *overlapCounter
 
 		mu        sync.Mutex
 		slowdown  float64 // factor on all durations; 0 means 1
@@ -91,6 +92,7 @@
 		done         chan struct{}
 		err          error // why the generation ended early
 		ended        bool
+		atWork       bool // the run has begun, and the engine works on it
 	}
 
 	// Event is an event of a generation.
@@ -124,7 +126,12 @@
 
 // NewEngine returns an engine with an empty cache.
 func NewEngine(p Profile) *Engine {
-	return &Engine{profile: p, wake: make(chan struct{}, 1), replicas: map[string]replica{}}
+	return newEngine(p, &overlapCounter{})
+}
+
+// newEngine returns an engine that reports its runs to a counter.
+func newEngine(p Profile, overlaps *overlapCounter) *Engine {
+	return &Engine{profile: p, wake: make(chan struct{}, 1), overlaps: overlaps, replicas: map[string]replica{}}
 }
 
 // SetSlowdown multiplies all of the engine's durations by a factor.
@@ -189,8 +196,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state = s
-	if s == Down {
+	switch s {
+	case Down:
 		e.crash()
+	case Unreachable:
+		for _, g := range append(e.running, e.waiting...) {
+			g.endWork()
+		}
 	}
 }
 
@@ -287,11 +299,22 @@
 	return g.err
 }
 
+// hasEnded reports whether the generation has ended.
+func (g *Generation) hasEnded() bool {
+	select {
+	case <-g.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // end ends the generation; the caller holds the engine's mu.
 func (g *Generation) end(err error) {
 	if g.ended {
 		return
 	}
+	g.endWork()
 	g.ended, g.err = true, err
 	close(g.events)
 	close(g.done)
--- a/emulator/step.go
+++ b/emulator/step.go
@@ -76,6 +76,7 @@
 		}
 		e.waiting = slices.DeleteFunc(e.waiting, func(o *Generation) bool { return o == g })
 		e.running = append(e.running, g)
+		g.beginWork()
 	}
 }
 
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/ragworthitch/ragworthitch/emulator"
 )
 
 // worstWindowSeconds is the length of the windows that Result.WorstShare is the
@@ -32,6 +34,8 @@
 	// allowed crash.
 	Crashes      int
 	LateAttempts int
+	// Overlaps counts the streams on which two engines were at work.
+	Overlaps emulator.Overlaps
 	// ShareBySecond is the share on time of the streams of each second of arrival;
 	// -1 if there are none.
 	ShareBySecond []float64
@@ -108,6 +112,7 @@
 	}
 	r.RepeatedPrefill = max(0, r.PrefillTokens-sim.promptTokens())
 	r.Crashes, r.LateAttempts = sim.poisonStats.summary()
+	r.Overlaps = sim.cluster.Overlaps()
 	return r
 }
 
@@ -121,6 +126,7 @@
 		sum.PrefillTokens += r.PrefillTokens
 		sum.RepeatedPrefill, sum.ReplicatedTokens, sum.Preemptions = sum.RepeatedPrefill+r.RepeatedPrefill, sum.ReplicatedTokens+r.ReplicatedTokens, sum.Preemptions+r.Preemptions
 		sum.Crashes, sum.LateAttempts = sum.Crashes+r.Crashes, max(sum.LateAttempts, r.LateAttempts)
+		sum.Overlaps.Add(r.Overlaps)
 		sum.WorstShare += r.WorstShare / float64(len(rs))
 		sum.timesToFirst, sum.longestIntervals = append(sum.timesToFirst, r.timesToFirst...), append(sum.longestIntervals, r.longestIntervals...)
 		for i := range r.startedBySecond {
--- a/experiment/simulation.go
+++ b/experiment/simulation.go
@@ -53,6 +53,8 @@
 	if slices.ContainsFunc(w.Faults, func(f Fault) bool { return f.SameID }) {
 		sim.cluster.ReportStartTimes()
 	}
+	sim.cluster.CloseTime = max(time.Duration(w.CloseMs)*time.Millisecond, v.CloseUnseen)
+	sim.cluster.CloseUnseen = v.CloseUnseen > 0
 	sim.cluster.OnCrash = sim.crash
 	sim.cluster.OnAttemptEnd = sim.recordUsage
 	for i := range w.Entries {
--- a/experiment/simulation_test.go
+++ b/experiment/simulation_test.go
@@ -52,6 +52,8 @@
 	// Vain bounds the share of the prefill that is in vain although no event was sent;
 	// 0: no bound.
 	Vain float64
+	// HandsOver requires streams that go on at another engine.
+	HandsOver bool `yaml:"handsOver"`
 }
 
 // maxLateAttempts bounds Result.LateAttempts.
@@ -85,6 +87,7 @@
 				assert.LessOrEqual(t, product.RecoverySeconds(workloads[i]), want.Back)
 			}
 			assert.LessOrEqual(t, product.LateAttempts, maxLateAttempts)
+			want.checkOverlaps(t, workloads[i], product)
 			assert.LessOrEqual(t, product.Crashes, n*want.Crashed)
 			want.checkGroups(t, product)
 			for name, maxRatio := range want.Misses {
@@ -114,6 +117,29 @@
 	}
 }
 
+// checkOverlaps checks that no two engines work on one stream for longer than MaxOverlap.
+// Lossy links excuse it.
+func (want expected) checkOverlaps(t *testing.T, w Workload, r Result) {
+	if want.HandsOver {
+		assert.Positive(t, r.Overlaps.Handovers)
+	}
+	if !slices.ContainsFunc(w.Faults, func(f Fault) bool { return f.Kind == FaultPacketLoss }) {
+		assert.Zero(t, r.Overlaps.TooLong, "longest overlap %v", r.Overlaps.Longest)
+	}
+}
+
+// Guards the oracle of overlaps against a product whose connections stay open unseen: it has
+// to find that two engines work on one stream.
+func TestLateCloseIsFound(t *testing.T) {
+	workloads, err := ReadWorkloads("testdata/loads.yaml")
+	require.NoError(t, err)
+	for _, w := range workloads {
+		if w.Name == "engines fall silent and go on" {
+			assert.Positive(t, simulate(t, w, "closesLate", 2).Overlaps.TooLong)
+		}
+	}
+}
+
 // simulate returns the merged result of a variant's draws of a workload.
 func simulate(t *testing.T, w Workload, name string, draws int) (r Result) {
 	v, err := VariantByName(name)
@@ -123,8 +149,8 @@
 		require.NoError(t, err)
 		r = results[0]
 	})
-	t.Logf("%s, %s: on time %.3f, worst %.2f, late %d, failed %d, longest interval %v, prefilled again %d, recovered after %d s",
-		w.Name, name, r.Share(), r.WorstShare, r.Late, r.Failed, r.LongestInterval, r.RepeatedPrefill, r.RecoverySeconds(w))
+	t.Logf("%s, %s: on time %.3f, worst %.2f, late %d, failed %d, longest interval %v, prefilled again %d, recovered after %d s, overlaps %+v",
+		w.Name, name, r.Share(), r.WorstShare, r.Late, r.Failed, r.LongestInterval, r.RepeatedPrefill, r.RecoverySeconds(w), r.Overlaps)
 	return r
 }
 
@@ -135,6 +161,7 @@
 		"unknown field":            "- {name: x, entires: 3}",
 		"no engines":               "- {name: x, entries: 1, zones: [a], seconds: 1, perSecond: 1, prompt: 10, events: 1}",
 		"large prompt":             "- {name: x, entries: 1, engines: 1, zones: [a], seconds: 1, perSecond: 1, prompt: 90000, events: 1}",
+		"negative closeMs":         "- {name: x, entries: 1, engines: 1, zones: [a], seconds: 1, perSecond: 1, prompt: 10, events: 1, closeMs: -1}",
 		"no callers":               "- {name: x, entries: 1, engines: 1, zones: [a], seconds: 1, prompt: 10, events: 1}",
 		"no chunk":                 "- {name: x, entries: 1, engines: 1, zones: [a], seconds: 1, perSecond: 1, prompt: 10, events: 1, engine: {stepUs: 1, readPerMs: 1}}",
 		"unknown route of a burst": "- {name: x, entries: 1, engines: 1, zones: [a], seconds: 1, perSecond: 1, prompt: 10, events: 1, faults: [{kind: burst, route: urgent}]}",
--- a/experiment/variant.go
+++ b/experiment/variant.go
@@ -11,6 +11,9 @@
 	"github.com/ragworthitch/ragworthitch/route"
 )
 
+// lateClose is how late the variant closesLate closes connections.
+const lateClose = 500 * time.Millisecond
+
 type (
 	// Variant is a way to serve a workload: the product's, or without one of its
 	// mechanisms.
@@ -22,6 +25,9 @@
 		// NoQuarantine: poison requests are retried like others.
 		NoQuarantine bool
 		FixedPace    *pace.Pace // nil: the measured pace
+		// CloseUnseen is how long connections of attempts that were given up stay open,
+		// although they seem closed.
+		CloseUnseen time.Duration
 	}
 
 	// maskedPolicy is the product's policy without some of its inputs.
@@ -76,6 +82,7 @@
 		{Name: "leastLoaded", Engines: leastLoaded{}},
 		{Name: "fixedSpeeds", FixedPace: defaultPace()},
 		{Name: "any", Engines: randomEngine{}},
+		{Name: "closesLate", CloseUnseen: lateClose},
 	}
 }
 
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -57,8 +57,11 @@
 		// ComeBack makes callers come back at another entry instance, with the time that
 		// they have left as their timeout. Without it they come back at any entry
 		// instance with their first timeout.
-		ComeBack bool    `yaml:"comeBack"`
-		Faults   []Fault `yaml:"faults"`
+		ComeBack bool `yaml:"comeBack"`
+		// CloseMs is how long an entry instance takes to close the connection of an attempt
+		// that it gives up.
+		CloseMs int     `yaml:"closeMs"`
+		Faults  []Fault `yaml:"faults"`
 	}
 
 	// EngineProfile is an emulator.Profile in YAML.
@@ -124,6 +127,8 @@
 		return fmt.Errorf("%w: %q: prompt of %d tokens is empty or larger than half of an engine's memory", ErrBadWorkload, w.Name, w.PromptTokens)
 	case w.Entries < len(w.Zones) && w.callerZones()[0] != "":
 		return fmt.Errorf("%w: %q: bursts of a zone need an entry instance in each zone", ErrBadWorkload, w.Name)
+	case w.CloseMs < 0:
+		return fmt.Errorf("%w: %q: closeMs is negative", ErrBadWorkload, w.Name)
 	case w.Events < 1 || w.StreamsPerSec <= 0:
 		return fmt.Errorf("%w: %q needs events and perSecond", ErrBadWorkload, w.Name)
 	}
