--- a/experiment/simulation_test.go
+++ b/experiment/simulation_test.go
@@ -131,13 +131,23 @@
 // Guards the oracle of overlaps against a product whose connections stay open unseen: it has
 // to find that two engines work on one stream.
 func TestLateCloseIsFound(t *testing.T) {
+	w := workloadByName(t, "engines fall silent and go on")
+	assert.Positive(t, simulate(t, w, "closesLate", 2).Overlaps.TooLong)
+}
+
+// Guards against a stream that goes on at a second engine while the instance still closes the
+// connection to the first one, which works on.
+func TestStreamWaitsForSlowClose(t *testing.T) {
+	w := workloadByName(t, "instances close connections slowly")
+	expected{HandsOver: true}.checkOverlaps(t, w, simulate(t, w, "product", 2))
+}
+
+func workloadByName(t *testing.T, name string) Workload {
 	workloads, err := ReadWorkloads("testdata/loads.yaml")
 	require.NoError(t, err)
-	for _, w := range workloads {
-		if w.Name == "engines fall silent and go on" {
-			assert.Positive(t, simulate(t, w, "closesLate", 2).Overlaps.TooLong)
-		}
-	}
+	i := slices.IndexFunc(workloads, func(w Workload) bool { return w.Name == name })
+	require.GreaterOrEqual(t, i, 0, name)
+	return workloads[i]
 }
 
 // simulate returns the merged result of a variant's draws of a workload.
