loopback: a link that holds one direction back holds that direction's resets back too

With the way to the server cut and the way back open, the server's next bytes met a client that had left, and the link reset the server's connection at once: the end of the connection passed the cut. On a network the client's reset travels the way that is cut. So a stream that an instance had given up behind such a cut ended at its target earlier than it does, and two targets at work on it would not be seen. The reset now waits for the direction in which it travels.

TestLinkPassesCloseOn: the end of a client, with and without unread bytes, reaches the server within 200 ms unless requests are held, and then once they no longer are. Not run after the change: the soak, whose plans use these links.

--- a/loopback/link.go
+++ b/loopback/link.go
@@ -152,8 +152,8 @@
 		delete(l.connections, conn)
 	}()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests) })
-	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses) })
+	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests, BlockResponses) })
+	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses, BlockRequests) })
 	directions.Wait()
 }
 
@@ -164,8 +164,9 @@
 }
 
 // copyDirection forwards one direction; blocking is the fault that holds back the
-// bytes of this direction alone.
-func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking string) {
+// bytes of this direction alone, blockingBack the one of the other direction, in which the
+// receiver's reset travels.
+func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking, blockingBack string) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
@@ -175,6 +176,7 @@
 		l.awaitFault(blocking)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
+				l.awaitFault(blockingBack)
 				conn.reset()
 				return
 			}
