ingress, health: a failed check does not eject a target from which data came while it was checked

What callers saw: pauses, while streams left a target that was well.

Cause: a check of a connection has 150 ms. On an instance that is short of processor time it can fail though the target accepts. Neighbours' checks, and the other streams that an ejection ends, took no look at what had come from the target meanwhile; only the stream that had asked did.

Change: a check that timed out is not believed if any stream has had data of the target since it began. A refused connection is.

Measured: packages ingress and health pass; whether targets are left less often was not measured by itself.

--- a/health/health.go
+++ b/health/health.go
@@ -210,6 +210,13 @@
 	return s.servedAt > s.failedAt && now.Sub(s.servedAt) < recentContact
 }
 
+// ServedSince reports whether data or a successful answer has arrived after the given time.
+func (s *State) ServedSince(t clock.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servedAt > t
+}
+
 // BeginCheck starts a connection check of the target. It returns false if a check
 // is already in progress; otherwise the caller calls EndCheck after the check.
 func (s *State) BeginCheck() bool {
--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -275,11 +275,18 @@
 
 // ejectIfUnreachable ejects a target that accepts no connection.
 func (c *activeCall) ejectIfUnreachable(m *registry.Member, cause health.Cause) {
-	if err := c.checkConnection(m); err != nil {
+	checkedAt := clock.Now()
+	if err := c.checkConnection(m); err != nil && !c.refutes(m, err, checkedAt) {
 		c.eject(m, cause, err)
 	}
 }
 
+// refutes reports whether the target serves, although a check of its connection from checkedAt
+// on failed with err: this instance may have been slow to see that the target accepted.
+func (c *activeCall) refutes(m *registry.Member, err error, checkedAt clock.Time) bool {
+	return !errors.Is(err, upstream.ErrRefused) && m.Health().ServedSince(checkedAt)
+}
+
 // checkConnection opens a connection to a target, unless a check is already in progress,
 // and returns an error if the target accepts none.
 func (c *activeCall) checkConnection(m *registry.Member) error {
