ingress: events that the sender holds, and the time of a verdict, count when a target seems lost

Cause: an event for which the queue had no space was in the sender's hand, where hasUnseen did not look. And an event that had been read before a verdict withdrew the verdict. A quarantine took no look at a head that waits.

Change: the sender says that it holds something; only what was read after a verdict withdraws it; a quarantine looks as well.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -46,6 +47,7 @@
 		lastEventAt    clock.Time // 0: none yet
 		lastEventLate  bool       // the last event was late, as after a lost packet
 		results        chan readResult
+		emitting       atomic.Bool         // the sender holds a result, for which the queue may have no space yet
 		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
 		sent           chan sendResult // result of Sender.Send, sent once
@@ -57,9 +59,9 @@
 		// start to generate.
 		headReceived     bool
 		headReceivedAt   clock.Time
-		targetLost       bool   // the target was found lost, and nothing has been received since
-		overBudgetLogged bool   // the exhausted retry budget has been logged
-		reply            *Reply // nil: the head has not been received
+		lostAt           clock.Time // when the target was found lost, and nothing was read since; 0: it was not
+		overBudgetLogged bool       // the exhausted retry budget has been logged
+		reply            *Reply     // nil: the head has not been received
 		decodeIntervals  decodeIntervals
 		paceRecorded     bool // the pace of the target's version has been recorded
 		failureRecorded  bool // a failure of the target's version has been recorded
@@ -97,6 +99,8 @@
 // the error that ends the attempt.
 func (a *attempt) sendCatchingPanic(ctx context.Context, r *AttemptRequest) {
 	emitResult := func(result readResult) bool {
+		a.emitting.Store(true)
+		defer a.emitting.Store(false)
 		if ctx.Err() != nil || !a.reserveSpace(ctx, &result) {
 			return false // an end that follows a cancellation is not the target's
 		}
@@ -250,10 +254,10 @@
 		case result := <-a.results:
 			now := clock.Now()
 			a.noteDelay(wait, now.Sub(timerSetAt))
-			if a.targetLost {
-				lost = a.member.Health().NextFailure() // what arrives shows that it was not
+			if a.lostAt != 0 && (result.readAt == 0 || result.readAt > a.lostAt) {
+				lost, a.lostAt = a.member.Health().NextFailure(), 0 // what arrives shows that it was not
 			}
-			a.lastActivityAt, a.targetLost = now, false
+			a.lastActivityAt = now
 			if result.reply != nil {
 				head = result.reply
 				a.reply, a.headReceived, a.headReceivedAt = head, true, now
@@ -273,7 +277,7 @@
 				}
 			}
 		case failure := <-a.connFailures:
-			if failure.checkedAt > a.lastActivityAt && !a.hasUnseen() {
+			if failure.checkedAt > a.lastActivityAt && !a.hasUnseen() && !s.refutes(a.member, failure.err, failure.checkedAt) {
 				s.eject(a.member, health.CauseSilent, failure.err)
 			}
 		case <-lost:
@@ -281,11 +285,11 @@
 			if a.mayFailOver(ctx, now) {
 				return errTargetLost
 			}
-			lost, a.targetLost = nil, true
+			lost, a.lostAt = nil, now
 			wait, timerSetAt = silenceCheckInterval, now
 			timer.Reset(wait)
 		case <-quarantined:
-			if !a.headReceived {
+			if !a.headReceived && !a.hasUnseen() {
 				return errQuarantined
 			}
 			quarantined = nil // the attempt has begun and goes on
--- a/ingress/canary.go
+++ b/ingress/canary.go
@@ -197,7 +197,7 @@
 	}
 	switch {
 	case errors.Is(err, errTargetSilent):
-		if !a.targetLost {
+		if a.lostAt == 0 {
 			s.recordSymptom(a.member, rollout.Slow, true)
 		}
 	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, errPanic), errors.Is(err, errQuarantined),
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -91,7 +91,7 @@
 	if !a.headReceived && a.replicaTarget == nil {
 		checkAfter = scaled(headConnCheckShare, a.intervalObjective)
 	}
-	if (silence >= failoverAfter || a.targetLost) && a.mayFailOver(ctx, now) {
+	if (silence >= failoverAfter || a.lostAt != 0) && a.mayFailOver(ctx, now) {
 		a.recordSilence(silence)
 		return true
 	}
@@ -111,7 +111,7 @@
 
 // hasUnseen reports whether something has arrived from the target that watch has not seen yet.
 func (a *attempt) hasUnseen() bool {
-	return len(a.results) > 0 || a.reply != nil && a.reply.hasUnread()
+	return a.emitting.Load() || len(a.results) > 0 || a.reply != nil && a.reply.hasUnread()
 }
 
 // reserveFailover reserves a retry for a failover and reports whether the retry budget
@@ -123,7 +123,7 @@
 	if !a.overBudgetLogged {
 		a.overBudgetLogged = true
 		a.s.h.stats.overBudget.Inc(1)
-		a.s.h.log.Warn().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("quiet", now.Sub(a.lastActivityAt)).Bool("targetLost", a.targetLost).
+		a.s.h.log.Warn().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("quiet", now.Sub(a.lastActivityAt)).Bool("targetLost", a.lostAt != 0).
 			Msg("resume: retry budget exhausted; waiting for the silent target")
 	}
 	return false
@@ -222,7 +222,7 @@
 	if !a.canFailOver() {
 		return a.intervalObjective // only delays are noted
 	}
-	if checkAfter := a.connCheckAfter(now); silence < checkAfter && !a.targetLost {
+	if checkAfter := a.connCheckAfter(now); silence < checkAfter && a.lostAt == 0 {
 		return min(checkAfter-silence, a.decodeConnCheckAfter(now)) // prefills may be done by then
 	}
 	return silenceCheckInterval
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,8 +32,9 @@
 type (
 	// timedSender sends event n once pause(n) has passed since the one before.
 	timedSender struct {
-		pause    func(n int64) time.Duration
-		attempts atomic.Int32
+		pause     func(n int64) time.Duration
+		eventSize int // additional bytes of each event
+		attempts  atomic.Int32
 	}
 
 	// pausingReader is a caller that accepts its second write late.
@@ -49,7 +51,7 @@
 			if !clock.Sleep(ctx, s.pause(n)) {
 				return ctx.Err()
 			}
-			emit(Event{Raw: fmt.Appendf(nil, "id: %d\n\n", n), ID: n})
+			emit(Event{Raw: fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", s.eventSize)), ID: n})
 		}
 		return nil
 	}
@@ -82,11 +84,19 @@
 
 // TestTargetOfWaitingEventsIsNotSilent guards against a stream that leaves a target as silent
 // although events of the target wait to be read, because its caller read slowly.
-func TestTargetOfWaitingEventsIsNotSilent(t *testing.T) {
+func TestTargetOfWaitingEventsIsNotSilent(t *testing.T) { checkWaitingEvents(t, 0) }
+
+// TestTargetOfLargeEventsIsNotSilent guards against the same where the events that wait fill the
+// queue, so that the sender holds the next one.
+func TestTargetOfLargeEventsIsNotSilent(t *testing.T) { checkWaitingEvents(t, maxQueuedBytes*5/8) }
+
+// checkWaitingEvents checks that streams with events of a size stay at their target while their
+// caller pauses.
+func checkWaitingEvents(t *testing.T, eventSize int) {
 	left := 0
 	for range pauseTries {
 		synctest.Test(t, func(t *testing.T) {
-			s := &timedSender{pause: func(int64) time.Duration { return 20 * time.Millisecond }}
+			s := &timedSender{pause: func(int64) time.Duration { return 20 * time.Millisecond }, eventSize: eventSize}
 			h := newTestHandler(t, s, ragworthitch.CallStream)
 			setIntervalObjective(t, h, tightObjective)
 			w := pausingReader{httptest.NewRecorder(), new(int)}
