ingress: a varied Retry-After doesn't lead callers back before the first backoff has ended

The test is right, and load has no part in it: fake time stands still in the run.

Cause: the Retry-After was the end of the backoff and a third, or a quarter of the remaining time if that is less, varied by a quarter up or down.

Change: the value is drawn between the end of the first backoff and the longest that was sent before. Only if the backoff ends later than that, it lies before its end, as before. Streams in the admission queue take the same value.

--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -323,8 +323,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// reject answers a call that did not run, with the time after which to retry.
+// reject answers a call that did not run, with the time after which to retry, varied.
 func (c *activeCall) reject(cause string, retryAfter time.Duration) {
+	c.rejectUnvaried(cause, varied(retryAfter))
+}
+
+// rejectUnvaried answers a call that did not run, with exactly this time after which to retry.
+func (c *activeCall) rejectUnvaried(cause string, retryAfter time.Duration) {
 	c.h.stats.rejected.Inc(1)
 	c.logFailure(http.StatusServiceUnavailable, cause, nil)
 	writeStatus(c.w, http.StatusServiceUnavailable, retryAfter)
--- a/ingress/barred.go
+++ b/ingress/barred.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -18,6 +19,8 @@
 	barredWaitShare = 0.5
 	// maxNamedTargets is the number of targets that the cause of a rejected call names.
 	maxNamedTargets = 20
+	// retryAfterSpread is the ratio of the longest to the shortest Retry-After of one cause.
+	retryAfterSpread = (1 + retryAfterVariation) / (1 - retryAfterVariation)
 )
 
 // barredTargets are the barred targets of a service, if all are.
@@ -83,16 +86,19 @@
 }
 
 // barredRetryAfter returns the time after which to retry a call for which all targets are
-// barred: the end of the first backoff, or the part of it that callers wait for.
+// barred. It is not before the end of the first backoff, unless callers do not wait that long.
 func (c *activeCall) barredRetryAfter(b barredTargets, now clock.Time) time.Duration {
 	if b.nextEnd == 0 {
-		return noTargetRetryAfter
+		return varied(noTargetRetryAfter)
 	}
-	retryAfter := time.Duration(float64(b.nextEnd) / (1 - retryAfterVariation))
+	earliest, latest := b.nextEnd, scaled(retryAfterSpread, b.nextEnd)
 	if c.call.Timeout > 0 {
-		retryAfter = min(retryAfter, scaled(maxReturnShare, c.remaining(now)))
+		latest = min(latest, scaled(maxReturnShare*(1+retryAfterVariation), c.remaining(now)))
 	}
-	return max(retryAfter, time.Millisecond)
+	if earliest > latest {
+		earliest = scaled(1/retryAfterSpread, latest)
+	}
+	return max(earliest+scaled(rand.Float64(), latest-earliest), time.Millisecond)
 }
 
 // rejectBarred rejects a call, which has not run, if all targets are barred. It reports
@@ -104,7 +110,7 @@
 		return false
 	}
 	c.h.stats.barredCalls.Inc(1)
-	c.reject(fmt.Sprintf("%s; %s", cause, b), c.barredRetryAfter(b, now))
+	c.rejectUnvaried(fmt.Sprintf("%s; %s", cause, b), c.barredRetryAfter(b, now))
 	return true
 }
 
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -319,14 +319,18 @@
 	h.stats.denied.Inc(1)
 	h.log.Info().Str("request", call.ID).Str("host", call.Host).Str("path", call.Path).Int64("version", grant.Version).
 		Dur("proofAge", grant.Age).Int("status", status).AnErr("cause", err).Msg("ingress: denied")
-	writeStatus(w, status, retryAfter)
+	writeStatus(w, status, varied(retryAfter))
+}
+
+// varied returns a Retry-After varied by retryAfterVariation.
+func varied(retryAfter time.Duration) time.Duration {
+	return scaled(1-retryAfterVariation+2*retryAfterVariation*rand.Float64(), retryAfter)
 }
 
 // writeStatus writes an empty answer; a retryAfter of 0 sends no Retry-After.
 func writeStatus(w http.ResponseWriter, status int, retryAfter time.Duration) {
 	if retryAfter > 0 {
-		delay := float64(retryAfter) * (1 - retryAfterVariation + 2*retryAfterVariation*rand.Float64())
-		w.Header().Set("Retry-After", strconv.FormatFloat(delay/float64(time.Second), 'f', 3, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
--- a/ingress/room.go
+++ b/ingress/room.go
@@ -31,7 +31,7 @@
 	// in time.
 	returnShare = 0.5
 	// maxReturnShare of the remaining time bounds a Retry-After. Callers honour up to a third,
-	// and writeStatus varies the value by a quarter.
+	// and the value is varied by a quarter.
 	maxReturnShare = 0.25
 	// minRetryAfter is for an expected wait of zero, which also stands for an unknown one.
 	minRetryAfter = 200 * time.Millisecond
@@ -340,7 +340,8 @@
 	}
 	if b := s.barredTargets(now); b.all {
 		s.h.stats.barredCalls.Inc(1)
-		retryAfter = s.barredRetryAfter(b, now)
+		s.rejectUnvaried(cause, max(minRetryAfter, s.barredRetryAfter(b, now)))
+		return true
 	}
 	s.reject(cause, max(minRetryAfter, min(retryAfter, scaled(maxReturnShare, s.remaining(now)))))
 	return true
