poison: a target that crashed under a request isn't attributed to another that waited there

Cause: the trace shows no verdict that waits for a fourth crash. The request is quarantined at its third crash (1.63 s), and released at 3.32 s: another request, quarantined then by strong evidence at three other targets, had a call waiting at one of the first three, and explained that crash better, since strength belonged to the suspect and not to the crash. So one of the three crashes was taken from the request, which ran until its next crash at 6.25 s.

Change: an explanation is weak if the evidence at this target is. Strong evidence against a request yields only to strong evidence against another one at the same target.

--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -79,6 +79,10 @@
 		c := crashOf(args[0], args[1])
 		c.Call = args[0]
 		tracker.RecordCrash(c, SourceOwn, now)
+	case "waited":
+		c := crashOf(args[0], args[1])
+		c.Phase = Waiting
+		tracker.RecordCrash(c, SourceOwn, now)
 	case "reported":
 		tracker.RecordCrash(crashOf(args[0], args[1], args[2:]...), SourcePeer, now)
 	case "stored":
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -53,7 +53,7 @@
 	// explanation is a suspect as the cause of one crash.
 	explanation struct {
 		crashes     int  // of the suspect, that count; 0: there is no explanation
-		weak        bool // the suspect is quarantined by weak evidence
+		weak        bool // there is weak evidence for it
 		soundBefore bool
 		pair        bool          // the suspect is a pair of parts
 		ran         time.Duration // the longest of the attempts that ended with a crash
@@ -289,7 +289,7 @@
 
 // explain returns the suspect as the cause of one of its crashes.
 func (s countedSuspect) explain(c *crashRecord) explanation {
-	return explanation{crashes: len(s.crashes), weak: s.byWeak, soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
+	return explanation{crashes: len(s.crashes), weak: s.byWeak || c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
 }
 
 // isBetterThan reports whether e explains a crash better than o: with strong evidence, under
