poison: of requests at the same crashed targets, the one whose calls never got further leads

One call of the poison request goes through all four targets within 0.6 s, each time after an event, so that all but its first crash are weak evidence. The request that all callers send was at the same four targets. With equally many crashes the request with more calls leads: a rule for bystanders of one call, and wrong for this one, which had 3 or 4 calls there. That it has no run to its end yet is not the cause by itself: what its calls had got was not weighed at all.

Change: a crash with weak evidence says how far the call had come, in all attempts and in this one (of several calls at the target the furthest), and how far any recent call with the request had. A request that crashes targets does so at one point of its answer or of its attempts; one whose calls came past both points elsewhere, by more than six events, has a contradicted crash. Of requests with equally many crashes the one with fewer contradicted crashes leads, then the one with more calls, as before. No crash stops counting. Views and rows carry four numbers more; older instances ignore them. Crashes that older instances report during an upgrade have no progress and may look contradicted.

Tests changed: TestBystanders' crashes carry their progress.

--- a/ingress/active_call.go
+++ b/ingress/active_call.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -40,6 +41,7 @@
 	soundElsewhere bool                        // the request is quarantined, and may run at the targets of targetFilter
 	targetFilter   func(*registry.Member) bool // selects the targets that may get the call; nil: all
 	noCrashAt      *registry.Member            // target for which recordNoCrash was last called
+	lostEvents     atomic.Int64                // of attempts that ended early
 	heldBack       []*registry.Member          // targets from which their rate limits have kept the call
 	heldBackLogged bool
 	urgent         *bool            // the call comes before others at limited targets; nil: not determined yet
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -209,6 +209,7 @@
 // end of an attempt, unless the target lacked memory.
 func (c *activeCall) investigateCrash(end attemptEnd) {
 	m := end.member
+	progress := poison.Progress{Total: c.resumedAfter() + int(c.lostEvents.Add(int64(end.events))), Attempt: end.events}
 	loss := poison.LossObservation{Draining: c.shutdownExpected(m)}
 	if !loss.Counts() {
 		c.logNotBlamed(m, "target draining or removed", end.events)
@@ -238,12 +239,21 @@
 			Msg("health: target crashed under the size of its requests")
 		return
 	}
-	crash := poison.Crash{Boot: t.Boot(), Call: c.call.ID, Version: t.Version(), InOutage: loss.InOutage(), Phase: end.phase, Ran: end.ran}
+	crash := poison.Crash{Boot: t.Boot(), Call: c.call.ID, Version: t.Version(), InOutage: loss.InOutage(), Phase: end.phase, Ran: end.ran, Progress: progress}
 	if c.h.poisonTracker.RecordOwnCrash(c.request, crash, clock.Now()) {
 		c.h.notifyPeers()
 	}
 }
 
+// resumedAfter returns the number of events that the caller already had of its stream.
+func (c *activeCall) resumedAfter() int {
+	n, err := strconv.Atoi(c.call.ResumeOffset)
+	if err != nil {
+		return 0
+	}
+	return max(0, n)
+}
+
 // logNotBlamed logs that the early end of an attempt does not count as a crash under its
 // request.
 func (c *activeCall) logNotBlamed(m *registry.Member, reason string, events int) {
--- a/poison/bystanders_test.go
+++ b/poison/bystanders_test.go
@@ -40,6 +40,7 @@
 
 	momentBeforeHead = "beforeHead" // as the prompt has been read
 	momentMidStream  = "midStream"
+	momentEvent      = "event" // after the first new event of an attempt
 )
 
 type (
@@ -275,8 +276,11 @@
 
 // poisonDelay returns the time from the head of an answer to a poison request to the crash.
 func (sim *simulation) poisonDelay() time.Duration {
-	if sim.Moment == momentMidStream {
+	switch sim.Moment {
+	case momentMidStream:
 		return eventsPerStream / 2 * eventInterval
+	case momentEvent:
+		return eventInterval
 	}
 	return poisonCrashDelay
 }
@@ -320,7 +324,10 @@
 		attributed := loss.Counts()
 		if attributed {
 			crash := crashOf(s.name, bootOf(s).ID())
-			crash.Phase, crash.Ran = s.phase(), s.ran
+			crash.Phase, crash.Ran, crash.Progress = s.phase(), s.ran, Progress{Total: s.eventCount(), Attempt: s.eventsInAttempt()}
+			if sim.Moment == momentEvent {
+				crash.Phase = PhaseOf(s.untilPrefilled <= 0, s.eventCount()) // as instances do
+			}
 			crash.Call, crash.InOutage = fmt.Sprintf("%p", s), loss.InOutage()
 			sim.tracker.RecordCrash(crash, SourceOwn, sim.clock())
 		}
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -12,6 +12,10 @@
 	// bystander stream of 130 events is that young for 1.5 % of its duration, and has to lose
 	// three targets within that.
 	maxEarlyEvents = 1
+	// maxEventJitter is the number of events by which the crashes of a request that crashes
+	// targets at one point of its answer may be apart: the last events may be lost with the
+	// target, and a resumed attempt may crash the next one an event further.
+	maxEventJitter = 6
 	// Neighbours is how many other targets of the zone, and as many of the service, are
 	// checked for a connection when a target is lost under a young request.
 	Neighbours = 5
@@ -41,6 +45,12 @@
 	// other phases.
 	Phase uint8
 
+	// Progress is how many events of an answer a call has got.
+	Progress struct {
+		Total   int // in all attempts
+		Attempt int // in one attempt
+	}
+
 	// Crash is the crash of a target that ran a request.
 	Crash struct {
 		Fingerprint Fingerprint       // of the request, or of a part of its prompt
@@ -62,6 +72,10 @@
 		InOutage bool
 		Phase    Phase
 		Ran      time.Duration // time from the start of the attempt to its end
+		// Progress is how far the call had come, or the furthest of several at the target.
+		// Furthest is how far any recent call with the request had, at the instance that
+		// observed the crash.
+		Progress, Furthest Progress
 	}
 
 	// LossObservation is what an instance observed when an attempt lost its target.
@@ -82,6 +96,23 @@
 	return partRun{part: c.Fingerprint, service: c.Service, version: c.Version, extent: extent}
 }
 
+// isContradicted reports whether a call with the request that came this far passed the point
+// at which the target crashed, both of the answer and of an attempt. Only weak evidence is
+// contradicted.
+func (c Crash) isContradicted(furthest Progress) bool {
+	return c.isWeak() && isPast(furthest.Total, c.Progress.Total) && isPast(furthest.Attempt, c.Progress.Attempt)
+}
+
+// isPast reports whether events are clearly more than those at a point.
+func isPast(events, point int) bool {
+	return events > point+maxEventJitter
+}
+
+// max returns the larger of each number.
+func (p Progress) max(o Progress) Progress {
+	return Progress{Total: max(p.Total, o.Total), Attempt: max(p.Attempt, o.Attempt)}
+}
+
 // isWeak reports whether the crash is weak evidence.
 func (c Crash) isWeak() bool { return c.Phase != Begun }
 
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -14,7 +14,8 @@
 //
 // A crash at the start of an answer is strong evidence against its request. A crash before the
 // head, or later, is weak evidence: all requests at the target have some. It counts against the
-// one that leads by the number of its crashes, and not in an outage. A run clears only crashes
+// one that leads by the number of its crashes, and not in an outage. Of requests with equally
+// many, that one leads whose calls got no further elsewhere (Progress). A run clears only crashes
 // at points of the answer that it has passed (Extent).
 //
 // Sound requests may share the caller and all parts but one with those that crash targets.
--- a/poison/successes.go
+++ b/poison/successes.go
@@ -19,6 +19,17 @@
 	c.counts.update(run, now, func(n int) int { return n + 1 })
 }
 
+// recordProgress records how far the call of a crash had come.
+func (t *Tracker) recordProgress(c Crash, now clock.Time) {
+	t.progress.update(c.run(PastStart), now, c.Progress.max)
+}
+
+// furthest returns how far recent calls with the request of a crash had come.
+func (t *Tracker) furthest(c Crash, now clock.Time) Progress {
+	current, previous := t.progress.get(c.run(PastStart), now)
+	return c.Furthest.max(current).max(previous)
+}
+
 // recent returns the recent successes of a request.
 func (c *successCounter) recent(run partRun, now clock.Time) int {
 	current, previous := c.counts.get(run, now)
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -61,6 +61,7 @@
 		pendingEdits []Edit        // not yet written to the store
 		editQueued   chan struct{} // closed at the next edit; nil while nobody waits
 		successes    successCounter
+		progress     windows[partRun, Progress] // of recent calls, by request
 		soundRuns    soundRuns
 		losses       lossTable
 		evaluateAt   clock.Time // when the next crash begins to count; 0: none will
@@ -272,6 +273,14 @@
 		if source == SourceOwn && (c.Part == "" || c.isWeak()) {
 			c.RecentSuccesses = t.successes.recent(c.run(PastStart), now)
 		}
+		if source == SourceOwn && c.isWeak() {
+			t.recordProgress(c, now)
+			c.Furthest = t.furthest(c, now)
+		}
+		if t.extendProgress(c) {
+			anyNew = true
+			t.crashLog.add(loggedCrash{c, now.Add(-c.Age)})
+		}
 		if t.addCrash(c, source, now) {
 			anyNew = true
 			mayDecide = mayDecide || !c.isWeak() || len(t.suspects[c.Fingerprint].crashes) >= minCrashThreshold
@@ -284,6 +293,19 @@
 	return anyNew
 }
 
+// extendProgress records that another call at a target whose crash is known had come further, and
+// reports whether this is news for other instances; t.mu is held.
+func (t *Tracker) extendProgress(c Crash) bool {
+	s := t.suspects[c.Fingerprint]
+	if s == nil || s.crashes[c.Boot] == nil || s.part != "" {
+		return false
+	}
+	known := s.crashes[c.Boot]
+	isNews := isPast(c.Progress.Total, known.Progress.Total) || isPast(c.Progress.Attempt, known.Progress.Attempt)
+	known.Progress, known.Furthest = known.Progress.max(c.Progress), known.Furthest.max(c.Furthest)
+	return isNews
+}
+
 // storeCrashes queues the crashes that this instance observed, and that count, for the
 // store; t.mu is held.
 func (t *Tracker) storeCrashes(s *suspect, now clock.Time) {
@@ -327,6 +349,7 @@
 		if !known.isWeak() || c.isWeak() {
 			return false
 		}
+		c.Progress, c.Furthest = known.Progress, known.Furthest
 		known.Crash = c // of another attempt there
 		return true
 	}
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -130,7 +130,8 @@
 }
 
 // compareEvidence compares two suspects by the number of their crashes. With equally many there
-// is more evidence against the request that more calls had, as a bystander mostly meets the
+// is more evidence against the request with fewer crashes at points of the answer that other
+// calls passed, then against the one that more calls had, as a bystander mostly meets the
 // crashes in one call, and against the part that has run less often beside its crashes.
 func (e *evaluation) compareEvidence(x, y countedSuspect) int {
 	xs, ys := x.settled(e.now), y.settled(e.now)
@@ -138,11 +139,27 @@
 		return n
 	}
 	if x.part == "" {
-		return cmp.Compare(callCount(xs), callCount(ys))
+		return cmp.Or(cmp.Compare(e.contradicted(ys), e.contradicted(xs)), cmp.Compare(callCount(xs), callCount(ys)))
 	}
 	return cmp.Compare(e.tracker.recentSuccesses(y.suspect, e.now), e.tracker.recentSuccesses(x.suspect, e.now))
 }
 
+// contradicted returns how many crashes of a suspect came at points of the answer that other
+// calls passed.
+func (e *evaluation) contradicted(crashes []*crashRecord) int {
+	var furthest Progress
+	for _, c := range crashes {
+		furthest = furthest.max(e.tracker.furthest(c.Crash, e.now))
+	}
+	n := 0
+	for _, c := range crashes {
+		if c.isContradicted(furthest) {
+			n++
+		}
+	}
+	return n
+}
+
 // callCount returns the number of calls that met the crashes.
 func callCount(crashes []*crashRecord) int {
 	calls := map[string]bool{}
--- a/wire/crashes.go
+++ b/wire/crashes.go
@@ -9,11 +9,14 @@
 )
 
 // encodeCrashes returns the frames of the crashes under requests, under parts, and of those
-// with weak evidence.
-func encodeCrashes(crashes []poison.Crash) (requests []crashFrame, parts []partCrashFrame, weak []weakCrashFrame) {
+// with weak evidence, and how far the calls of the last had come.
+func encodeCrashes(crashes []poison.Crash) (requests []crashFrame, parts []partCrashFrame, weak []weakCrashFrame, progress []progressFrame) {
 	for _, c := range crashes {
 		f := crashFrame{F: c.Fingerprint[:], T: c.Boot.ID(), B: c.Boot.Started(), C: c.Call, A: c.InOutage, W: c.RecentSuccesses, O: c.Org, S: c.Service, V: c.Version}
 		if c.Phase != poison.Begun {
+			if c.Furthest != (poison.Progress{}) {
+				progress = append(progress, progressFrame{I: len(weak), T: c.Progress.Total, A: c.Progress.Attempt, M: c.Furthest.Total, B: c.Furthest.Attempt})
+			}
 			weak = append(weak, weakCrashFrame{C: f, P: c.Part, S: c.SoundBefore, G: encodeAge(c.Age), H: uint8(c.Phase), R: encodeAge(c.Ran)})
 			continue
 		}
@@ -23,10 +26,10 @@
 		}
 		parts = append(parts, partCrashFrame{C: f, P: c.Part, S: c.SoundBefore, G: encodeAge(c.Age)})
 	}
-	return requests, parts, weak
+	return requests, parts, weak, progress
 }
 
-func decodeCrashes(requests []crashFrame, parts []partCrashFrame, weak []weakCrashFrame) ([]poison.Crash, error) {
+func decodeCrashes(requests []crashFrame, parts []partCrashFrame, weak []weakCrashFrame, progress []progressFrame) ([]poison.Crash, error) {
 	var out []poison.Crash
 	for _, f := range requests {
 		c, err := decodeCrash(f)
@@ -46,6 +49,7 @@
 		c.Part, c.SoundBefore = f.P, f.S
 		out = append(out, c)
 	}
+	firstWeak := len(out)
 	for _, f := range weak {
 		c, err := decodeWeakCrash(f)
 		if err != nil {
@@ -53,6 +57,13 @@
 		}
 		out = append(out, c)
 	}
+	for _, f := range progress {
+		if f.I < 0 || f.I >= len(weak) || min(f.T, f.A, f.M, f.B) < 0 {
+			return nil, fmt.Errorf("%w: progress %+v of %d crashes", ErrBadFrame, f, len(weak))
+		}
+		c := &out[firstWeak+f.I]
+		c.Progress, c.Furthest = poison.Progress{Total: f.T, Attempt: f.A}, poison.Progress{Total: f.M, Attempt: f.B}
+	}
 	return out, nil
 }
 
--- a/wire/view.go
+++ b/wire/view.go
@@ -89,6 +89,7 @@
 		G []drainingFrame      `cbor:"12,keyasint,omitempty"`
 		W []weakCrashFrame     `cbor:"13,keyasint,omitempty"`
 		E []int                `cbor:"14,keyasint,omitempty"` // indices of the runs of S that came to their end
+		H []progressFrame      `cbor:"15,keyasint,omitempty"`
 	}
 
 	rateLimitFrame struct {
@@ -143,6 +144,17 @@
 		R int64 // milliseconds
 	}
 
+	// progressFrame is the progress of the call of the crash of W with an index, in all attempts
+	// and in one, and the furthest of any call with the request.
+	progressFrame struct {
+		_ struct{} `cbor:",toarray"`
+		I int
+		T int
+		A int
+		M int
+		B int
+	}
+
 	soundRunFrame struct {
 		_ struct{} `cbor:",toarray"`
 		F []byte
@@ -200,7 +212,7 @@
 		f.L = append(f.L, loadFrame{T: l.Target.ID(), B: l.Target.Started(), P: l.Prefill, L: l.YieldingPrefill, R: l.Running, K: l.Tokens, G: l.EventInterval.Microseconds()})
 	}
 	f.P, f.R = encodeCacheLocations(v.CacheLocations), encodeRateLimits(v.RateLimits)
-	f.D, f.Q, f.W = encodeCrashes(v.Crashes)
+	f.D, f.Q, f.W, f.H = encodeCrashes(v.Crashes)
 	f.S, f.C, f.E = encodeSoundRuns(v.SoundRuns)
 	f.U = encodeUsage(v.Usage)
 	f.X = encodeRefusals(v.Refusals)
@@ -261,7 +273,7 @@
 	}
 	v.CacheLocations = decodeCacheLocations(f.P)
 	var err error
-	if v.Crashes, err = decodeCrashes(f.D, f.Q, f.W); err != nil {
+	if v.Crashes, err = decodeCrashes(f.D, f.Q, f.W, f.H); err != nil {
 		return View{}, err
 	}
 	if v.SoundRuns, err = decodeSoundRuns(f.S, f.C, f.E); err != nil {
