poison: an instance that starts anew knows at once which requests crash targets

What callers saw: while instances start anew in turn, a request that had crashed its targets before the head of its answer reached targets again after each start, and targets ended under it.

Cause: evidence that goes with its instance. Crashes with weak evidence count only once they have been known for 0.7 s, so that the other requests at the target are known as well. An instance that read them from the store at its start counted from then: for 0.7 s nothing was quarantined (shown without network: 0 to 600 ms not, 700 ms yes), and each call went on to its next target meanwhile.

Changed rows and reports of peers count as before.

The new case of TestTracker failed before. All of poison and discovery, TestBounds and TestPlansThatBrokeBounds passed once.

Open: an instance that starts within 0.1 s of the third crash, when rows of another request at these targets are still to be written, may take that one for a bystander: not played.

--- a/poison/rows.go
+++ b/poison/rows.go
@@ -157,11 +157,14 @@
 		}
 	}
 	t.mu.Unlock()
-	t.ApplyRows(append(deleted, rows...), now)
+	t.applyRows(append(deleted, rows...), true, now)
 }
 
 // ApplyRows applies changed rows of the store.
-func (t *Tracker) ApplyRows(rows []Row, now clock.Time) {
+func (t *Tracker) ApplyRows(rows []Row, now clock.Time) { t.applyRows(rows, false, now) }
+
+// applyRows applies rows of the store, which are those of a snapshot or have changed.
+func (t *Tracker) applyRows(rows []Row, inSnapshot bool, now clock.Time) {
 	if len(rows) == 0 {
 		return
 	}
@@ -175,6 +178,7 @@
 			t.applyDeletion(r.RowKey)
 		default:
 			if t.addCrash(r.Crash, SourceStore, now) {
+				t.suspects[r.Fingerprint].crashes[r.Boot].inSnapshot = inSnapshot
 				t.crashLog.add(loggedCrash{r.Crash, now})
 			}
 		}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -93,6 +93,7 @@
 		observedHere bool       // this instance writes the crash to the store
 		storeQueued  bool       // the write is queued or done
 		stored       bool       // the store has the crash
+		inSnapshot   bool       // it was read together with all other crashes in the store
 	}
 
 	// countedSuspect is a suspect with the crashes that count against it.
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -93,10 +93,14 @@
 			rows = append(rows, Row{RowKey: rowOf(args[0], target).RowKey, Deleted: true})
 		}
 		tracker.ApplyRows(rows, now)
-	case "snapshot":
+	case "snapshot", "waitedsnapshot":
 		var rows []Row
 		for i := 0; i < len(args); i += 2 {
-			rows = append(rows, rowOf(args[i], args[i+1]))
+			row := rowOf(args[i], args[i+1])
+			if verb == "waitedsnapshot" {
+				row.Crash.Phase = Waiting
+			}
+			rows = append(rows, row)
 		}
 		tracker.ApplySnapshot(rows, now)
 	case "succeeded":
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -171,7 +171,7 @@
 
 // settled returns the crashes that have been known for weakReportTime.
 func (s countedSuspect) settled(now clock.Time) []*crashRecord {
-	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return now.Sub(c.knownAt) < weakReportTime })
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return now.Sub(c.knownAt) < c.weakSettleTime() })
 }
 
 // covers reports whether the suspect was at all targets that crashed.
@@ -297,13 +297,22 @@
 func (s *suspect) settleTime(c *crashRecord) time.Duration {
 	switch {
 	case c.isWeak():
-		return weakReportTime
+		return c.weakSettleTime()
 	case s.contested:
 		return reportTime
 	}
 	return 0
 }
 
+// weakSettleTime is the same where weak evidence is weighed. What ran at a target whose crash is
+// read with a snapshot of the store is read with it.
+func (c *crashRecord) weakSettleTime() time.Duration {
+	if c.inSnapshot {
+		return reportTime
+	}
+	return weakReportTime
+}
+
 // explain returns the suspect as the cause of one of its crashes.
 func (s countedSuspect) explain(c *crashRecord) explanation {
 	return explanation{crashes: len(s.crashes), weak: s.byWeak || c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
