--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -79,6 +79,10 @@
 		c := crashOf(args[0], args[1])
 		c.Call = args[0]
 		tracker.RecordCrash(c, SourceOwn, now)
+	case "waited":
+		c := crashOf(args[0], args[1])
+		c.Phase = Waiting
+		tracker.RecordCrash(c, SourceOwn, now)
 	case "reported":
 		tracker.RecordCrash(crashOf(args[0], args[1], args[2:]...), SourcePeer, now)
 	case "stored":
@@ -89,10 +93,14 @@
 			rows = append(rows, Row{RowKey: rowOf(args[0], target).RowKey, Deleted: true})
 		}
 		tracker.ApplyRows(rows, now)
-	case "snapshot":
+	case "snapshot", "waitedsnapshot":
 		var rows []Row
 		for i := 0; i < len(args); i += 2 {
-			rows = append(rows, rowOf(args[i], args[i+1]))
+			row := rowOf(args[i], args[i+1])
+			if verb == "waitedsnapshot" {
+				row.Crash.Phase = Waiting
+			}
+			rows = append(rows, row)
 		}
 		tracker.ApplySnapshot(rows, now)
 	case "succeeded":
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -53,7 +53,7 @@
 	// explanation is a suspect as the cause of one crash.
 	explanation struct {
 		crashes     int  // of the suspect, that count; 0: there is no explanation
-		weak        bool // the suspect is quarantined by weak evidence
+		weak        bool // there is weak evidence for it
 		soundBefore bool
 		pair        bool          // the suspect is a pair of parts
 		ran         time.Duration // the longest of the attempts that ended with a crash
@@ -130,7 +130,8 @@
 }
 
 // compareEvidence compares two suspects by the number of their crashes. With equally many there
-// is more evidence against the request that more calls had, as a bystander mostly meets the
+// is more evidence against the request with fewer crashes at points of the answer that other
+// calls passed, then against the one that more calls had, as a bystander mostly meets the
 // crashes in one call, and against the part that has run less often beside its crashes.
 func (e *evaluation) compareEvidence(x, y countedSuspect) int {
 	xs, ys := x.settled(e.now), y.settled(e.now)
@@ -138,11 +139,27 @@
 		return n
 	}
 	if x.part == "" {
-		return cmp.Compare(callCount(xs), callCount(ys))
+		return cmp.Or(cmp.Compare(e.contradicted(ys), e.contradicted(xs)), cmp.Compare(callCount(xs), callCount(ys)))
 	}
 	return cmp.Compare(e.tracker.recentSuccesses(y.suspect, e.now), e.tracker.recentSuccesses(x.suspect, e.now))
 }
 
+// contradicted returns how many crashes of a suspect came at points of the answer that other
+// calls passed.
+func (e *evaluation) contradicted(crashes []*crashRecord) int {
+	var furthest Progress
+	for _, c := range crashes {
+		furthest = furthest.max(e.tracker.furthest(c.Crash, e.now))
+	}
+	n := 0
+	for _, c := range crashes {
+		if c.isContradicted(furthest) {
+			n++
+		}
+	}
+	return n
+}
+
 // callCount returns the number of calls that met the crashes.
 func callCount(crashes []*crashRecord) int {
 	calls := map[string]bool{}
@@ -154,7 +171,7 @@
 
 // settled returns the crashes that have been known for weakReportTime.
 func (s countedSuspect) settled(now clock.Time) []*crashRecord {
-	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return now.Sub(c.knownAt) < weakReportTime })
+	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return now.Sub(c.knownAt) < c.weakSettleTime() })
 }
 
 // covers reports whether the suspect was at all targets that crashed.
@@ -280,16 +297,25 @@
 func (s *suspect) settleTime(c *crashRecord) time.Duration {
 	switch {
 	case c.isWeak():
-		return weakReportTime
+		return c.weakSettleTime()
 	case s.contested:
 		return reportTime
 	}
 	return 0
 }
 
+// weakSettleTime is the same where weak evidence is weighed. What ran at a target whose crash is
+// read with a snapshot of the store is read with it.
+func (c *crashRecord) weakSettleTime() time.Duration {
+	if c.inSnapshot {
+		return reportTime
+	}
+	return weakReportTime
+}
+
 // explain returns the suspect as the cause of one of its crashes.
 func (s countedSuspect) explain(c *crashRecord) explanation {
-	return explanation{crashes: len(s.crashes), weak: s.byWeak, soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
+	return explanation{crashes: len(s.crashes), weak: s.byWeak || c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
 }
 
 // isBetterThan reports whether e explains a crash better than o: with strong evidence, under
