--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -280,14 +280,13 @@
 			t.recordProgress(c, now)
 			c.Furthest = t.furthest(c, now)
 		}
-		if t.extendProgress(c) {
-			anyNew = true
-			t.crashLog.add(loggedCrash{c, now.Add(-c.Age)})
-		}
-		if t.addCrash(c, source, now) {
-			s := t.suspects[c.Fingerprint]
+		goesFurther, isNew := t.extendProgress(c), t.addCrash(c, source, now)
+		s := t.suspects[c.Fingerprint]
+		if goesFurther || isNew {
 			s.unreported = append(s.unreported, loggedCrash{c, now.Add(-c.Age)})
 			anyNews = t.reportCrashes(s) || anyNews
+		}
+		if isNew {
 			mayDecide = mayDecide || !c.isWeak() || len(s.crashes) >= minCrashThreshold
 		}
 	}
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -248,3 +248,38 @@
 	}
 	assert.Equal(t, map[string]int64{"poison_deaths": 3, "poison_condemned": 1, "poison_trials": 1, "poison_sound": 1, "poison_cleared": 1}, counts)
 }
+
+// Guards against views that carry each crash of each lost stream: a single crash with weak
+// evidence is not reported, a second one reports both, and one with strong evidence goes at once.
+func TestReportedCrashes(t *testing.T) {
+	weak := func(name, target string) Crash {
+		c := crashOf(name, target)
+		c.Phase = Waiting
+		return c
+	}
+	tests := []struct {
+		name     string
+		crashes  []Crash
+		reported []int // after each crash, in all
+	}{
+		{"weak evidence", []Crash{weak("a", "t1"), weak("a", "t2"), weak("a", "t3")}, []int{0, 2, 3}},
+		{"weak evidence of several requests", []Crash{weak("a", "t1"), weak("b", "t1"), weak("c", "t1")}, []int{0, 0, 0}},
+		{"strong evidence", []Crash{crashOf("a", "t1"), weak("a", "t2")}, []int{1, 2}},
+		{"strong evidence after weak", []Crash{weak("a", "t1"), crashOf("a", "t2")}, []int{0, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var tracker Tracker
+			for i, c := range tt.crashes {
+				isNews := tracker.RecordCrash(c, SourceOwn, 1)
+				before := 0
+				if i > 0 {
+					before = tt.reported[i-1]
+				}
+				got, _ := tracker.CrashesSince(0, 1)
+				assert.Len(t, got, tt.reported[i])
+				assert.Equal(t, tt.reported[i] > before, isNews)
+			}
+		})
+	}
+}
