--- a/soak/check.go
+++ b/soak/check.go
@@ -13,7 +13,7 @@
 const (
 	RuleOrder       = "ORDER"    // a stream has all its events once, in order, and no events of other streams
 	RuleAnswer      = "MIXED"    // an answer is complete and is the answer of the stamped target to this call
-	RuleAtMostOnce  = "TWICE"    // an unsafe call runs at most once
+	RuleAtMostOnce  = "TWICE"    // an unsafe call runs at most once, and a stream at one target at a time
 	RuleNotRun      = "NOTRUN"   // a call that is rejected as not run never runs
 	RuleForwarding  = "UNASKED"  // targets get what callers sent, for the caller's organisation
 	RuleRevoked     = "REVOKED"  // a removed key is rejected within revokeDelay
@@ -105,6 +105,7 @@
 		c.checkAttempts(id, attempts)
 	}
 	c.checkReverts()
+	c.checkHandovers()
 	c.checkDraining()
 	c.checkDrainingAnswers()
 	c.checkBackoffs()
--- a/soak/execution.go
+++ b/soak/execution.go
@@ -61,7 +61,7 @@
 	}
 	x.shutDown()
 	records, err := readRecords(dir)
-	return History{Deployment: x.plan.Deployment, StartedAt: x.startedAt.UnixNano(), Calls: x.calls, Records: records, Changes: x.operator.allChanges(), Faults: x.faults,
+	return History{Deployment: x.plan.Deployment, Size: x.size, StartedAt: x.startedAt.UnixNano(), Calls: x.calls, Records: records, Changes: x.operator.allChanges(), Faults: x.faults,
 		Exits: x.exits, Usage: x.usage}, err
 }
 
--- a/soak/records.go
+++ b/soak/records.go
@@ -16,6 +16,7 @@
 const (
 	RecordStarted  = "begun"
 	RecordEnded    = "ended"
+	RecordStopped  = "stopped" // the target has seen the end of the connection of a call that it runs
 	RecordDraining = "leaving" // the store has acknowledged the row that says so
 	RecordCrashed  = "crashed" // a poison request crashes the target
 	RecordLimited  = "limited" // the target names a rate limit from now on
@@ -68,8 +69,8 @@
 		Error        string   `json:"error"`
 	}
 
-	// Record is what a target recorded: the start or end of an attempt, that the target
-	// is draining, a crash, a rate limit, a backoff, or the start of its process.
+	// Record is what a target recorded: the start or end of an attempt, that the attempt is
+	// told to stop, that the target is draining, a crash, a rate limit, a backoff, or the start of its process.
 	Record struct {
 		Kind         string `json:"kind"`
 		Call         string `json:"call"`
@@ -132,6 +133,7 @@
 	// History holds all records of an execution.
 	History struct {
 		Deployment Deployment
+		Size       Size
 		StartedAt  int64
 		Calls      []Call
 		Records    []Record
--- a/soak/target.go
+++ b/soak/target.go
@@ -132,8 +132,11 @@
 
 func (t *Target) recordAttempt(attempt platform.RunEvent) {
 	record := Record{Kind: RecordStarted, Call: attempt.Call, Path: attempt.Path, Org: attempt.Org, KeyPassed: attempt.KeyForwarded, ResumeOffset: attempt.ResumeOffset}
-	if attempt.Ended {
+	switch {
+	case attempt.Ended:
 		record.Kind = RecordEnded
+	case attempt.Stopped:
+		record.Kind = RecordStopped
 	}
 	t.writeRecord(record)
 }
