--- a/loopback/link.go
+++ b/loopback/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -16,6 +17,8 @@
 	BlockRequests  = "cutTo"   // bytes to the server are held until the fault ends
 	BlockResponses = "cutBack" // bytes to the client are held until the fault ends
 	BlockBoth      = "silence" // bytes in both directions are held
+	LoseRequests   = "loseTo"  // parts of the bytes to the server are held for a delay, as packets sent again
+	LoseResponses  = "loseBack"
 )
 
 // A Link is a TCP proxy between two loopback addresses that injects network
@@ -40,6 +43,7 @@
 const (
 	bufferBytes = 32 << 10
 	dialTimeout = time.Second
+	lossOdds    = 4 // one read in so many is lost
 )
 
 // NewLink listens on one address and forwards connections to serverAddr.
@@ -86,7 +90,7 @@
 	l.resetAll()
 }
 
-// SetFault injects a fault until ClearFault is called. Only a Delay fault uses delay.
+// SetFault injects a fault until ClearFault is called. Only Delay and losses use delay.
 func (l *Link) SetFault(fault string, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,8 +156,8 @@
 		delete(l.connections, conn)
 	}()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests) })
-	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses) })
+	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests, LoseRequests) })
+	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses, LoseResponses) })
 	directions.Wait()
 }
 
@@ -164,15 +168,15 @@
 }
 
 // copyDirection forwards one direction; blocking is the fault that holds back the
-// bytes of this direction alone.
-func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking string) {
+// bytes of this direction alone, and losing the one that loses parts of them.
+func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking, losing string) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
 		if err != nil && from == conn.server {
 			l.onServerEnd()
 		}
-		l.awaitFault(blocking)
+		l.awaitFault(blocking, losing)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				conn.reset()
@@ -190,9 +194,11 @@
 	}
 }
 
-// awaitFault waits while a fault holds bytes back. The named fault and BlockBoth
-// hold them until the fault changes, Delay for its delay.
-func (l *Link) awaitFault(blocking string) {
+// awaitFault waits while a fault holds bytes back. The blocking fault and BlockBoth
+// hold them until the fault changes, Delay for its delay, and the losing fault for its
+// delay, or each time twice as long, while packets are lost.
+func (l *Link) awaitFault(blocking, losing string) {
+	retransmissions := 0
 	for {
 		l.mu.Lock()
 		fault, delay, changed := l.fault, l.delay, l.faultChanged
@@ -201,16 +207,27 @@
 		case blocking, BlockBoth:
 			<-changed
 			continue
-		case Delay:
-			select {
-			case <-time.After(delay):
-			case <-changed:
+		case losing:
+			if rand.IntN(lossOdds) != 0 {
+				return
 			}
+			awaitOrChanged(delay<<retransmissions, changed)
+			retransmissions++
+			continue
+		case Delay:
+			awaitOrChanged(delay, changed)
 		}
 		return
 	}
 }
 
+func awaitOrChanged(d time.Duration, changed <-chan struct{}) {
+	select {
+	case <-time.After(d):
+	case <-changed:
+	}
+}
+
 // reset closes both sides with RST, as a crash of a process does.
 func (c *connection) reset() {
 	c.client.SetLinger(0)
--- a/loopback/link_test.go
+++ b/loopback/link_test.go
@@ -88,6 +88,23 @@
 		assert.True(t, echoes(t, c, echoTimeout))
 		assert.GreaterOrEqual(t, time.Since(startedAt), 200*time.Millisecond, "delay in both directions")
 	})
+	for _, kind := range []string{LoseRequests, LoseResponses} {
+		t.Run(kind, func(t *testing.T) {
+			l, addr := startEchoLink(t)
+			c := dialEcho(t, addr)
+			l.SetFault(kind, 50*time.Millisecond)
+			lost := 0
+			for range 40 {
+				startedAt := time.Now()
+				require.True(t, echoes(t, c, echoTimeout))
+				if time.Since(startedAt) >= 50*time.Millisecond {
+					lost++
+				}
+			}
+			assert.Greater(t, lost, 0)
+			assert.Less(t, lost, 40)
+		})
+	}
 	t.Run(Reset, func(t *testing.T) {
 		l, addr := startEchoLink(t)
 		c := dialEcho(t, addr)
