soak: plans of handovers; time without processor time does not count as work

Plans of the new size handover make streams go on elsewhere while their targets are alive: targets that stand still or are paused for 0.6 to 2 s, links from single instances that hold back, delay, lose or reset one direction or both, alone and in all engines in turn. The plans of the other sizes are unchanged.

Targets, and the soak test itself, record now for which time they got no processor time, and the check leaves that time out, as it does pauses by the plan.

--- a/soak/check.go
+++ b/soak/check.go
@@ -76,19 +76,23 @@
 		history    History
 		calls      map[string]*Call
 		attempts   map[string][]Record // RecordStarted records by call
+		stalls     map[string][]Record // RecordStalled records by target
 		violations []Violation
 	}
 )
 
 // Check returns the violations in a history.
 func Check(h History) []Violation {
-	c := &checker{history: h, calls: map[string]*Call{}, attempts: map[string][]Record{}}
+	c := &checker{history: h, calls: map[string]*Call{}, attempts: map[string][]Record{}, stalls: map[string][]Record{}}
 	for i := range h.Calls {
 		c.calls[h.Calls[i].ID] = &h.Calls[i]
 	}
 	for _, r := range h.Records {
-		if r.Kind == RecordStarted {
+		switch r.Kind {
+		case RecordStarted:
 			c.attempts[r.Call] = append(c.attempts[r.Call], r)
+		case RecordStalled:
+			c.stalls[r.Target] = append(c.stalls[r.Target], r)
 		}
 	}
 	for i := range h.Calls {
--- a/soak/execution.go
+++ b/soak/execution.go
@@ -43,6 +43,7 @@
 	mu            sync.Mutex
 	calls         []Call
 	faults        []InjectedFault
+	stalls        []Stall
 	exits         []UnexpectedExit
 	usage         []Usage
 	reportedExits map[*process.Process]bool // processes in exits
@@ -62,7 +63,7 @@
 	x.shutDown()
 	records, err := readRecords(dir)
 	return History{Deployment: x.plan.Deployment, Size: x.size, StartedAt: x.startedAt.UnixNano(), Calls: x.calls, Records: records, Changes: x.operator.allChanges(), Faults: x.faults,
-		Exits: x.exits, Usage: x.usage}, err
+		Stalls: x.stalls, Exits: x.exits, Usage: x.usage}, err
 }
 
 // runPlan sends calls and injects the plan's faults for the plan's duration, and returns
@@ -75,6 +76,7 @@
 	background.Go(func() { x.balancer.run(runCtx) })
 	background.Go(func() { x.monitor(runCtx) })
 	background.Go(func() { x.restartCrashed(runCtx) })
+	background.Go(func() { watchStalls(runCtx, func(s Stall) { x.stalls = append(x.stalls, s) }) })
 	for n := range x.size.Callers {
 		background.Go(func() { newCaller(x, n).run(runCtx) })
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -170,6 +170,10 @@
 		return x.askBackoffs(ctx, t, f)
 	case KindDraining:
 		return x.sayDraining(ctx, t, f)
+	case KindStandStill:
+		x.post(t, fmt.Sprintf("%s?ms=%d", pathStandStill, f.ForMs))
+		clock.Sleep(ctx, f.Duration())
+		return nil
 	}
 	t.faultMu.Lock()
 	defer t.faultMu.Unlock()
--- a/soak/handover.go
+++ b/soak/handover.go
@@ -2,16 +2,39 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/ragworthitch/ragworthitch/clock"
+)
+
+const (
+	// handoverTolerance is how long a target may still work on a stream that has begun at
+	// another one.
+	handoverTolerance = 400 * time.Millisecond
+	// A process whose timer of stallInterval fires minStall late has stood still.
+	stallInterval = 20 * time.Millisecond
+	minStall      = 100 * time.Millisecond
+
+	// Faults of handover plans last for minHandoverFault to maxHandoverFault, and begin
+	// meanHandoverInterval apart in the mean. One in seriesOdds hits all engines in turn,
+	// seriesInterval apart.
+	minHandoverFault     = 600 * time.Millisecond
+	maxHandoverFault     = 2 * time.Second
+	meanHandoverInterval = 1200 * time.Millisecond
+	seriesOdds           = 4
+	seriesInterval       = 700 * time.Millisecond
+	// Bounds of the time after which a lost packet is sent again.
+	minRetransmission = 200 * time.Millisecond
+	maxRetransmission = 500 * time.Millisecond
 )
 
-// handoverTolerance is how long a target may still work on a stream that has begun at
-// another one.
-const handoverTolerance = 400 * time.Millisecond
+// handoverKinds are the kinds that plans of sizeHandover draw.
+var handoverKinds = []string{KindStandStill, KindPause, KindBlockResponses, KindBlockRequests, KindBlockBoth, KindDelay, KindLoseRequests, KindLoseResponses, KindReset}
 
 type (
 	// run is an attempt at a stream as its target saw it.
@@ -27,6 +50,45 @@
 
 func (i interval) length() time.Duration { return time.Duration(i.to - i.from) }
 
+// drawHandovers draws faults of engines that live on, and of the links of single instances to
+// them.
+func (d *planDrawer) drawHandovers(end time.Duration) []Fault {
+	var out []Fault
+	for at := startMargin; at < end-maxHandoverFault; at += d.drawDuration(meanHandoverInterval) {
+		f := d.drawHandover()
+		if d.rng.IntN(seriesOdds) > 0 {
+			f.AtMs = int(at.Milliseconds())
+			out = append(out, f)
+			continue
+		}
+		for n := range d.size.Engines {
+			begin := min(at+time.Duration(n)*seriesInterval, end-maxHandoverFault)
+			if f.AtMs = int(begin.Milliseconds()); f.isLinkFault() {
+				f.To = fmt.Sprint(nodeEngine, n)
+			} else {
+				f.From = fmt.Sprint(nodeEngine, n)
+			}
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// drawHandover draws one fault, without its time.
+func (d *planDrawer) drawHandover() Fault {
+	duration := minHandoverFault + time.Duration(d.rng.Int64N(int64(maxHandoverFault-minHandoverFault)))
+	engine := d.nodeName(nodeEngine, d.size.Engines)
+	f := Fault{Kind: pick(d.rng, handoverKinds...), From: engine, ForMs: int(duration.Milliseconds())}
+	if f.Kind == KindStandStill || f.Kind == KindPause {
+		return f
+	}
+	f.From, f.To = d.nodeName(nodeEntry, d.size.Entries), engine
+	if f.Kind == KindDelay || f.Kind == KindLoseRequests || f.Kind == KindLoseResponses {
+		f.DelayMs = int((minRetransmission + time.Duration(d.rng.Int64N(int64(maxRetransmission-minRetransmission)))).Milliseconds())
+	}
+	return f
+}
+
 // checkHandovers checks that no two targets work on one stream for longer than
 // handoverTolerance, while each of them can see the end of its connection.
 func (c *checker) checkHandovers() {
@@ -93,11 +155,11 @@
 // work and no fault keeps either target from seeing the end of its connection; zero: none.
 func (c *checker) bothWork(earlier, later *run) interval {
 	both := interval{later.At, min(earlier.endedAt, later.endedAt)}
-	for _, f := range c.faultsOfClose(earlier, later) {
-		if undisturbed := (interval{both.from, min(both.to, f.StartedAt)}); undisturbed.length() > handoverTolerance {
+	for _, d := range c.disturbancesOf(earlier, later) {
+		if undisturbed := (interval{both.from, min(both.to, d.from)}); undisturbed.length() > handoverTolerance {
 			return undisturbed
 		}
-		both.from = max(both.from, f.EndedAt)
+		both.from = max(both.from, d.to)
 	}
 	if both.length() > handoverTolerance {
 		return both
@@ -105,26 +167,34 @@
 	return interval{}
 }
 
-// faultsOfClose returns the faults that keep a target of the runs from seeing the end of its
+// disturbancesOf returns the times in which a target of the runs may not see the end of its
 // connection, in the order of their starts.
-func (c *checker) faultsOfClose(runs ...*run) []InjectedFault {
-	var out []InjectedFault
-	for _, f := range c.history.Faults {
-		if slices.ContainsFunc(runs, func(r *run) bool { return c.mayDelayClose(f, r) }) {
-			out = append(out, f)
+func (c *checker) disturbancesOf(runs ...*run) []interval {
+	var out []interval
+	for _, s := range c.history.Stalls {
+		out = append(out, interval{s.StartedAt, s.EndedAt})
+	}
+	for _, r := range runs {
+		for _, f := range c.history.Faults {
+			if c.mayDelayClose(f, r) {
+				out = append(out, interval{f.StartedAt, f.EndedAt})
+			}
+		}
+		for _, stall := range c.stalls[r.Target] {
+			out = append(out, interval{stall.At - stall.LastsMs*int64(time.Millisecond), stall.At})
 		}
 	}
-	slices.SortFunc(out, func(a, b InjectedFault) int { return cmp.Compare(a.StartedAt, b.StartedAt) })
+	slices.SortFunc(out, func(a, b interval) int { return cmp.Compare(a.from, b.from) })
 	return out
 }
 
 // mayDelayClose reports whether a fault keeps a run's target from seeing that the instance
-// has closed the connection. A link that holds back answers alone does not.
+// has closed the connection. A link that holds back or loses answers alone does not.
 func (c *checker) mayDelayClose(f InjectedFault, r *run) bool {
 	if !f.isLinkFault() {
 		return f.From == r.Node && slices.Contains(losingKinds, f.Kind)
 	}
-	return f.Kind != KindBlockResponses && f.To == r.Node && f.From == c.linkNameOf(c.calls[r.Call].Entry)
+	return f.Kind != KindBlockResponses && f.Kind != KindLoseResponses && f.To == r.Node && f.From == c.linkNameOf(c.calls[r.Call].Entry)
 }
 
 // linkNameOf returns the name that the outgoing links of an instance have: that of the first
@@ -136,3 +206,20 @@
 	}
 	return fmt.Sprint(nodeEntry, n%c.history.Size.zoneCount())
 }
+
+// watchStalls reports the times for which this process stands still, until ctx ends.
+func watchStalls(ctx context.Context, report func(Stall)) {
+	last := time.Now()
+	for clock.Sleep(ctx, stallInterval) {
+		now := time.Now()
+		if now.Sub(last) > stallInterval+minStall {
+			report(Stall{StartedAt: last.UnixNano(), EndedAt: now.UnixNano()})
+		}
+		last = now
+	}
+}
+
+// recordStall records that the target has stood still.
+func (t *Target) recordStall(s Stall) {
+	t.writeRecord(Record{Kind: RecordStalled, LastsMs: (s.EndedAt - s.StartedAt) / int64(time.Millisecond)})
+}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -23,6 +23,8 @@
 	KindBlockRequests  = loopback.BlockRequests  // bytes from From to To are held until the fault ends
 	KindBlockResponses = loopback.BlockResponses // bytes from To to From are held until the fault ends
 	KindBlockBoth      = loopback.BlockBoth      // bytes in both directions are held
+	KindLoseRequests   = loopback.LoseRequests   // parts of the bytes from From to To arrive after DelayMs, as packets sent again
+	KindLoseResponses  = loopback.LoseResponses  // the same from To to From
 
 	KindPause        = "pause"   // SIGSTOP, and SIGCONT at the end
 	KindKill         = "kill"    // SIGKILL, and a restart at the end
@@ -66,6 +68,9 @@
 	// KindNoKeys removes all organisations, until the next version.
 	KindNoKeys = "noKeys"
 
+	// KindStandStill makes a target send nothing, while its process goes on.
+	KindStandStill = "still"
+
 	KindChange = "change" // the operator adds a route and a key and removes the oldest ones
 )
 
@@ -152,12 +157,18 @@
 	"usual": {Entries: 4, Engines: 12, Services: 4, Callers: 50},
 	"limit": {Entries: 12, Engines: 100, Services: 12, Callers: 160},
 	sizeFew: {Entries: 3, Engines: 4, Services: 3, Callers: 16, Zones: 1},
+
+	sizeHandover: {Entries: 3, Engines: 4, Services: 2, Callers: 20},
 }
 
 // sizeFew has few targets in one zone. Its plans draw the settings and the moments at which
 // poison requests crash their targets, too.
 const sizeFew = "few"
 
+// sizeHandover has plans of faults after which streams go on elsewhere while their targets
+// are alive, one after another and at the same time.
+const sizeHandover = "handover"
+
 // alwaysDrawn are the kinds that every plan has.
 var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather, KindEndless, KindBackoff, KindDraining, KindNoKeys}
 
@@ -182,6 +193,11 @@
 	p := Plan{Seed: seed, Size: size, Seconds: int(length / time.Second)}
 	d := &planDrawer{rng: rand.New(rand.NewPCG(seed, 1)), size: s}
 	end := length - recoveryMargin
+	if size == sizeHandover {
+		p.Faults = d.drawHandovers(end)
+		p.sort()
+		return p, nil
+	}
 	interval := meanFaultInterval * 10 / time.Duration(max(10, s.Entries+s.Engines+s.Services))
 	for at := startMargin; at < end; at += d.drawDuration(interval) {
 		f := d.drawFault(at, end)
@@ -407,7 +423,7 @@
 		return Plan{}, fmt.Errorf("%w: %s: size %q, %d seconds", ErrInvalidPlan, file, p.Size, p.Seconds)
 	}
 	for _, f := range p.Faults {
-		if !slices.Contains(alwaysDrawn, f.Kind) && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
+		if !slices.Contains(alwaysDrawn, f.Kind) && !slices.Contains(handoverKinds, f.Kind) && !slices.ContainsFunc(kindChoices, func(c kindChoice) bool { return c.kind == f.Kind }) {
 			return Plan{}, fmt.Errorf("%w: %s: unknown kind %q", ErrInvalidPlan, file, f.Kind)
 		}
 	}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -37,6 +37,26 @@
 	assert.NotEqual(t, a.Faults, b.Faults)
 }
 
+// Plans of handovers draw each of their kinds, in single faults and in series, and leave the
+// time for recovery free. The same seed gives the same plan.
+func TestHandoverPlans(t *testing.T) {
+	drawn := map[string]bool{}
+	for seed := range uint64(20) {
+		a, err := NewPlan(seed, sizeHandover, time.Minute)
+		require.NoError(t, err)
+		b, err := NewPlan(seed, sizeHandover, time.Minute)
+		require.NoError(t, err)
+		require.Equal(t, a, b)
+		for _, f := range a.Faults {
+			drawn[f.Kind] = true
+			require.LessOrEqual(t, f.At()+f.Duration(), time.Minute-recoveryMargin, "%s", f)
+		}
+	}
+	for _, kind := range handoverKinds {
+		assert.True(t, drawn[kind], kind)
+	}
+}
+
 // Plans draw every kind of fault.
 func TestPlansDrawAllKinds(t *testing.T) {
 	drawn := map[string]bool{}
--- a/soak/records.go
+++ b/soak/records.go
@@ -23,6 +23,7 @@
 	RecordEndless  = "endless" // an answer without an end, when its connection is closed
 	RecordBackoff  = "backoff" // the target rejects a call and asks for a backoff
 	RecordArrived  = "arrived" // the target receives a call, which it may reject
+	RecordStalled  = "stalled" // the target's process got no processor time
 	RecordBooted   = "booted"  // a process of the target starts; it may have the id of an earlier one
 )
 
@@ -88,7 +89,7 @@
 		RemainingMs int64 `json:"remainingMs,omitempty"` // of RecordArrived: the time that the target is given; 0: none is named
 
 		Answer  string `json:"answer,omitempty"`  // of RecordEndless: what has no end
-		LastsMs int64  `json:"lastsMs,omitempty"` // of RecordEndless: time until the connection was closed
+		LastsMs int64  `json:"lastsMs,omitempty"` // of RecordEndless: time until the connection was closed; of RecordStalled: the time up to At
 
 		Rate  float64 `json:"rate,omitempty"`  // of RecordLimited, requests a second
 		Until int64   `json:"until,omitempty"` // when the target stops to name the limit, unless it ends before; of RecordBackoff: the end of the backoff
@@ -114,6 +115,12 @@
 		EndedAt   int64 `json:"over"`
 	}
 
+	// Stall is a time without processor time for a process.
+	Stall struct {
+		StartedAt int64 `json:"begun"`
+		EndedAt   int64 `json:"over"`
+	}
+
 	// UnexpectedExit is a process that exited without being stopped, or did not exit in
 	// time.
 	UnexpectedExit struct {
@@ -139,6 +146,7 @@
 		Records    []Record
 		Changes    []Change
 		Faults     []InjectedFault
+		Stalls     []Stall // of the soak test's own process, which holds the links
 		Exits      []UnexpectedExit
 		Usage      []Usage
 	}
--- a/soak/target.go
+++ b/soak/target.go
@@ -34,6 +34,7 @@
 	pathReplica     = "/soak/copy"  // keeps a replica; parameters call, events
 	pathLoseAnswers = "/soak/loses" // loses answers; parameter ms
 	pathRateLimit   = "/soak/limit" // names a rate limit; parameters ms, rate
+	pathStandStill  = "/soak/still" // sends nothing; parameter ms
 )
 
 type (
@@ -86,6 +87,9 @@
 	}
 	t.writeRecord(Record{Kind: RecordBooted})
 	fmt.Println("target: started")
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go watchStalls(running, t.recordStall)
 	t.heartbeat(ctx)
 	t.standIn.SayDraining()
 	for t.writeRow(true) != nil {
@@ -167,6 +171,9 @@
 	mux.HandleFunc(pathUndelimited, t.answerWithoutLength)
 	mux.HandleFunc(pathEndless, t.startEndless)
 	mux.HandleFunc(pathBackoff, t.startBackoffs)
+	mux.HandleFunc(pathStandStill, func(_ http.ResponseWriter, r *http.Request) {
+		t.standIn.StandStill(time.Duration(mustAtoi(r.FormValue("ms"))) * time.Millisecond)
+	})
 	mux.HandleFunc(pathDraining, func(http.ResponseWriter, *http.Request) { t.standIn.SayDraining() })
 	return mux
 }
