--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -3,7 +3,7 @@
 
 Writes each bug, or each of those named, into a copy of the tree, builds the copy and
 runs its soak test with up to SEEDS seeds (default 3) until the rule that the bug
-violates is reported. Prints a line for each bug, and exits with 1 if one was
+violates is reported. SOAKBUGS_JOBS is how many run at a time (default 7). Prints a line for each bug, and exits with 1 if one was
 not detected.
 """
 import concurrent.futures, os, re, shutil, subprocess, sys, tempfile
@@ -17,6 +17,9 @@
     "a cut stream looks complete": ("ORDER", "ingress/stream.go", "	s.logFailure(0, \"stream cut: \"+cause, err)\n	panic(http.ErrAbortHandler)", "	s.logFailure(0, \"stream cut: \"+cause, err)\n	return"),
     "not run, though it may have": ("NOTRUN", "ingress/active_call.go", "	if !c.mayHaveRun {", "	if c != nil {"),
     "payments are sent again": ("TWICE", "ingress/plain.go", "			if c.mayHaveRun && !safe {", "			if false && c.mayHaveRun && !safe {"),
+    "a stream's former target is not told to stop": ("TWICE", "ingress/stream.go", "	ctx, cancel := context.WithCancel(parent)\n", "	ctx, cancel := parent, func() {}\n"),
+    "a stream's former target is told to stop late": ("TWICE", "ingress/stream.go", "	ctx, cancel := context.WithCancel(parent)\n", "	ctx, stop := context.WithCancel(parent)\n	cancel := func() { time.AfterFunc(time.Second, stop) }\n"),
+    "the connection of a former attempt is closed late": ("TWICE", "upstream/pool.go", "	return resp, context.AfterFunc(parent, cancel), ", "	return resp, context.AfterFunc(parent, func() { time.AfterFunc(time.Second, cancel) }), "),
     "a removed key is good while the store is away": ("REVOKED", "desired/tracker.go", "		if age > t.ages.Key {", "		if false && age > t.ages.Key {"),
     "a list of no organisations opens all routes": ("REVOKED", "desired/tracker.go", "(key != \"\" || current.state.KeysRequired())", "len(current.state.Organisations()) > 0"),
     "states are taken over late": ("CURRENT", "desired/tracker.go", "	t.current.Store(newTable(d))", "	time.AfterFunc(4*time.Second, func() { t.current.Store(newTable(d)) })"),
@@ -65,7 +68,8 @@
     "heads have no bounds": "testdata/soak/endless.yaml",
 }
 # Sizes of the bugs that are not detected with the usual one.
-SIZES = {"ends before the head are not crashes": "few", "retries beyond the budget": "few", "attempts beyond the route's": "few", "more time than is left": "few"}
+SIZES = {"a stream's former target is not told to stop": "handover", "a stream's former target is told to stop late": "handover", "the connection of a former attempt is closed late": "handover",
+         "ends before the head are not crashes": "few", "retries beyond the budget": "few", "attempts beyond the route's": "few", "more time than is left": "few"}
 
 
 def build(name, folder, bugs=BUGS):
@@ -102,7 +106,7 @@
 def main():
     seeds = int(sys.argv[1]) if len(sys.argv) > 1 else 3
     folder = tempfile.mkdtemp()
-    with concurrent.futures.ThreadPoolExecutor(7) as executor:
+    with concurrent.futures.ThreadPoolExecutor(int(os.environ.get("SOAKBUGS_JOBS", 7))) as executor:
         results = list(executor.map(lambda name: detect(name, folder, seeds), sys.argv[2:] or BUGS))
     for line, _ in results:
         print(line)
