--- a/soak/faults.go
+++ b/soak/faults.go
@@ -15,6 +15,13 @@
 // stopTolerance is how long a process may run after its grace period.
 const stopTolerance = time.Second
 
+// A slow process runs for slowRuns and is stopped for slowStopped in turn, so that it has a
+// seventh of a processor.
+const (
+	slowRuns    = 10 * time.Millisecond
+	slowStopped = 60 * time.Millisecond
+)
+
 // lostAcksPerSecond is the number of acknowledgements that the store loses per second of a
 // KindStoreLoseAcks fault.
 const lostAcksPerSecond = 10
@@ -103,10 +110,27 @@
 	return proc.Signal(syscall.SIGCONT)
 }
 
+// slowDown stops and continues a process in turn for the fault's duration.
+func (x *execution) slowDown(ctx context.Context, proc *process.Process, f Fault) error {
+	for end := time.Now().Add(f.Duration()); time.Now().Before(end) && ctx.Err() == nil; {
+		if err := proc.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		clock.Sleep(ctx, slowStopped)
+		if err := proc.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+		clock.Sleep(ctx, slowRuns)
+	}
+	return nil
+}
+
 func (x *execution) injectEntryFault(ctx context.Context, e *entry, f Fault) error {
 	switch f.Kind {
 	case KindPause:
 		return x.pauseProcess(ctx, e.process(), f)
+	case KindSlow:
+		return x.slowDown(ctx, e.process(), f)
 	case KindReload:
 		return e.process().Signal(syscall.SIGHUP)
 	}
--- a/soak/handover.go
+++ b/soak/handover.go
@@ -34,7 +34,7 @@
 )
 
 // handoverKinds are the kinds that plans of sizeHandover draw.
-var handoverKinds = []string{KindStandStill, KindPause, KindBlockResponses, KindBlockRequests, KindBlockBoth, KindDelay, KindLoseRequests, KindLoseResponses, KindReset}
+var handoverKinds = []string{KindStandStill, KindPause, KindSlow, KindBlockResponses, KindBlockRequests, KindBlockBoth, KindDelay, KindLoseRequests, KindLoseResponses, KindReset}
 
 type (
 	// run is an attempt at a stream as its target saw it.
@@ -50,13 +50,13 @@
 
 func (i interval) length() time.Duration { return time.Duration(i.to - i.from) }
 
-// drawHandovers draws faults of engines that live on, and of the links of single instances to
-// them.
+// drawHandovers draws faults of engines that live on, of single instances and of the links
+// between them.
 func (d *planDrawer) drawHandovers(end time.Duration) []Fault {
 	var out []Fault
 	for at := startMargin; at < end-maxHandoverFault; at += d.drawDuration(meanHandoverInterval) {
 		f := d.drawHandover()
-		if d.rng.IntN(seriesOdds) > 0 {
+		if d.rng.IntN(seriesOdds) > 0 || f.Kind == KindSlow {
 			f.AtMs = int(at.Milliseconds())
 			out = append(out, f)
 			continue
@@ -83,6 +83,10 @@
 		return f
 	}
 	f.From, f.To = d.nodeName(nodeEntry, d.size.Entries), engine
+	if f.Kind == KindSlow {
+		f.To = ""
+		return f
+	}
 	if f.Kind == KindDelay || f.Kind == KindLoseRequests || f.Kind == KindLoseResponses {
 		f.DelayMs = int((minRetransmission + time.Duration(d.rng.Int64N(int64(maxRetransmission-minRetransmission)))).Milliseconds())
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -68,6 +68,10 @@
 	// KindNoKeys removes all organisations, until the next version.
 	KindNoKeys = "noKeys"
 
+	// KindSlow leaves an instance little processor time: it is stopped and continued in
+	// turn.
+	KindSlow = "slow"
+
 	// KindStandStill makes a target send nothing, while its process goes on.
 	KindStandStill = "still"
 
