--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -48,16 +48,17 @@
 		results        chan readResult
 		queueSpace     *semaphore.Weighted // bytes left in results, of maxQueuedBytes
 		connFailures   chan connFailure
-		sendResult     chan error // result of Sender.Send, sent once
-		events         int        // events received
-		newEvents      int        // numbered events that the caller did not have yet
-		idleBytes      int        // size of the events since the last one that brought the caller anything new
+		sent           chan sendResult // result of Sender.Send, sent once
+		events         int             // events received
+		newEvents      int             // numbered events that the caller did not have yet
+		idleBytes      int             // size of the events since the last one that brought the caller anything new
 		// headReceived is set with the head of the answer, which engines send when they
 		// start to generate.
 		headReceived     bool
 		headReceivedAt   clock.Time
-		targetLost       bool // the target was found lost, and nothing has been received since
-		overBudgetLogged bool // the exhausted retry budget has been logged
+		targetLost       bool   // the target was found lost, and nothing has been received since
+		overBudgetLogged bool   // the exhausted retry budget has been logged
+		reply            *Reply // nil: the head has not been received
 		decodeIntervals  decodeIntervals
 		paceRecorded     bool // the pace of the target's version has been recorded
 		failureRecorded  bool // a failure of the target's version has been recorded
@@ -66,6 +67,12 @@
 		delayed bool
 	}
 
+	// sendResult is the result of Sender.Send.
+	sendResult struct {
+		reply *Reply
+		err   error
+	}
+
 	// readResult is one thing received from the target: the head of the answer, an event
 	// or the end. If the answer is no stream, the event's Raw is the whole body.
 	readResult struct {
@@ -89,8 +96,8 @@
 // the error that ends the attempt.
 func (a *attempt) sendCatchingPanic(ctx context.Context, r *AttemptRequest) {
 	emitResult := func(result readResult) bool {
-		if !a.reserveSpace(ctx, &result) {
-			return false
+		if ctx.Err() != nil || !a.reserveSpace(ctx, &result) {
+			return false // an end that follows a cancellation is not the target's
 		}
 		select {
 		case a.results <- result:
@@ -102,7 +109,7 @@
 	}
 	if err := a.s.h.catchPanic(a.s.call.ID, func() { a.send(ctx, r, emitResult) }); err != nil {
 		select {
-		case a.sendResult <- err:
+		case a.sent <- sendResult{err: err}:
 		default: // the result is there already
 		}
 		emitResult(readResult{err: err, end: true})
@@ -112,10 +119,38 @@
 	}
 }
 
+// stop stops the target's work for an attempt that has ended with err, and returns the error with
+// which the attempt was sent. The connection is closed when stop returns: the goroutine that
+// reads from it may notice the end of the context much later, and until then the target would
+// work beside that of the next attempt.
+func (a *attempt) stop(cancel context.CancelFunc, err error) error {
+	endedAt := clock.Now()
+	cancel()
+	sent := <-a.sent
+	unread := false
+	if sent.reply != nil {
+		unread = err != nil && sent.reply.hasUnread()
+		sent.reply.Body.Close() // fails only if the connection is closed already
+	}
+	if err != nil {
+		a.recordStop(clock.Now().Sub(endedAt), unread)
+	}
+	return sent.err
+}
+
+// recordStop records and logs that the attempt's connection was closed after the given time.
+// unread means that bytes had arrived that nobody had read.
+func (a *attempt) recordStop(took time.Duration, unread bool) {
+	a.s.h.stats.closedConns.Inc(1)
+	a.s.h.stats.closeTime.Record(took)
+	a.s.h.log.Info().Str("request", a.s.call.ID).Str("target", a.member.Target().ID()).Dur("after", took).Int("queued", len(a.results)).Bool("unread", unread).
+		Msg("resume: connection of the ended attempt closed")
+}
+
 // send sends the attempt and passes everything received from the target to emitResult.
 func (a *attempt) send(ctx context.Context, r *AttemptRequest, emitResult func(readResult) bool) {
 	reply, err := a.s.activeCall.send(ctx, r)
-	a.sendResult <- err
+	a.sent <- sendResult{reply: reply, err: err}
 	if err != nil {
 		emitResult(readResult{err: err, end: true})
 		return
@@ -181,17 +216,14 @@
 }
 
 // resolveSendError returns err. If the attempt was cancelled while its connection was
-// still being opened, the call has not run, and the result also wraps the error of the
-// connection.
-func (a *attempt) resolveSendError(err error) error {
-	if err == nil || a.headReceived || errors.Is(err, upstream.ErrNotSent) {
+// still being opened, the call has not run, and the result also wraps sendErr, the error of
+// the connection.
+func (a *attempt) resolveSendError(err, sendErr error) error {
+	if err == nil || a.headReceived || errors.Is(err, upstream.ErrNotSent) || !errors.Is(sendErr, upstream.ErrNotSent) {
 		return err
 	}
-	if sendErr := <-a.sendResult; errors.Is(sendErr, upstream.ErrNotSent) {
-		a.s.revertAttempt()
-		return fmt.Errorf("%w: %w", sendErr, err)
-	}
-	return err
+	a.s.revertAttempt()
+	return fmt.Errorf("%w: %w", sendErr, err)
 }
 
 // watch forwards events until the attempt ends or its target is lost or silent.
@@ -216,10 +248,13 @@
 		case result := <-a.results:
 			now := clock.Now()
 			a.noteDelay(wait, now.Sub(timerSetAt))
+			if a.targetLost {
+				lost = a.member.Health().NextFailure() // what arrives shows that it was not
+			}
 			a.lastActivityAt, a.targetLost = now, false
 			if result.reply != nil {
 				head = result.reply
-				a.headReceived, a.headReceivedAt = true, now
+				a.reply, a.headReceived, a.headReceivedAt = head, true, now
 			}
 			if result.end {
 				defer a.freeSpace(result)
@@ -236,12 +271,12 @@
 				}
 			}
 		case failure := <-a.connFailures:
-			if failure.checkedAt > a.lastActivityAt {
+			if failure.checkedAt > a.lastActivityAt && !a.hasUnseen() {
 				s.eject(a.member, health.CauseSilent, failure.err)
 			}
 		case <-lost:
 			now := clock.Now()
-			if a.reserveFailover(ctx, now) {
+			if a.mayFailOver(ctx, now) {
 				return errTargetLost
 			}
 			lost, a.targetLost = nil, true
