--- a/loopback/link.go
+++ b/loopback/link.go
@@ -37,6 +37,14 @@
 	connections  map[*connection]bool
 }
 
+// direction holds the faults that hold back all bytes of a direction, and parts of them.
+type direction struct{ blocking, losing string }
+
+var (
+	requests  = direction{BlockRequests, LoseRequests}
+	responses = direction{BlockResponses, LoseResponses}
+)
+
 // connection is one proxied connection.
 type connection struct{ client, server *net.TCPConn }
 
@@ -156,8 +164,8 @@
 		delete(l.connections, conn)
 	}()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests, LoseRequests) })
-	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses, LoseResponses) })
+	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, requests, responses) })
+	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, responses, requests) })
 	directions.Wait()
 }
 
@@ -167,18 +175,19 @@
 	return l.fault == Reset
 }
 
-// copyDirection forwards one direction; blocking is the fault that holds back the
-// bytes of this direction alone, and losing the one that loses parts of them.
-func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking, losing string) {
+// copyDirection forwards the bytes of the direction forth; in the direction back the
+// receiver's reset travels.
+func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, forth, back direction) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
 		if err != nil && from == conn.server {
 			l.onServerEnd()
 		}
-		l.awaitFault(blocking, losing)
+		l.awaitFault(forth)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
+				l.awaitFault(back)
 				conn.reset()
 				return
 			}
@@ -197,17 +206,17 @@
 // awaitFault waits while a fault holds bytes back. The blocking fault and BlockBoth
 // hold them until the fault changes, Delay for its delay, and the losing fault for its
 // delay, or each time twice as long, while packets are lost.
-func (l *Link) awaitFault(blocking, losing string) {
+func (l *Link) awaitFault(d direction) {
 	retransmissions := 0
 	for {
 		l.mu.Lock()
 		fault, delay, changed := l.fault, l.delay, l.faultChanged
 		l.mu.Unlock()
 		switch fault {
-		case blocking, BlockBoth:
+		case d.blocking, BlockBoth:
 			<-changed
 			continue
-		case losing:
+		case d.losing:
 			if rand.IntN(lossOdds) != 0 {
 				return
 			}
