--- a/loopback/link.go
+++ b/loopback/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"syscall"
@@ -16,6 +17,8 @@
 	BlockRequests  = "cutTo"   // bytes to the server are held until the fault ends
 	BlockResponses = "cutBack" // bytes to the client are held until the fault ends
 	BlockBoth      = "silence" // bytes in both directions are held
+	LoseRequests   = "loseTo"  // parts of the bytes to the server are held for a delay, as packets sent again
+	LoseResponses  = "loseBack"
 )
 
 // A Link is a TCP proxy between two loopback addresses that injects network
@@ -34,12 +37,21 @@
 	connections  map[*connection]bool
 }
 
+// direction holds the faults that hold back all bytes of a direction, and parts of them.
+type direction struct{ blocking, losing string }
+
+var (
+	requests  = direction{BlockRequests, LoseRequests}
+	responses = direction{BlockResponses, LoseResponses}
+)
+
 // connection is one proxied connection.
 type connection struct{ client, server *net.TCPConn }
 
 const (
 	bufferBytes = 32 << 10
 	dialTimeout = time.Second
+	lossOdds    = 4 // one read in so many is lost
 )
 
 // NewLink listens on one address and forwards connections to serverAddr.
@@ -86,7 +98,7 @@
 	l.resetAll()
 }
 
-// SetFault injects a fault until ClearFault is called. Only a Delay fault uses delay.
+// SetFault injects a fault until ClearFault is called. Only Delay and losses use delay.
 func (l *Link) SetFault(fault string, delay time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,8 +164,8 @@
 		delete(l.connections, conn)
 	}()
 	var directions sync.WaitGroup
-	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, BlockRequests, BlockResponses) })
-	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, BlockResponses, BlockRequests) })
+	directions.Go(func() { l.copyDirection(conn, conn.server, conn.client, requests, responses) })
+	directions.Go(func() { l.copyDirection(conn, conn.client, conn.server, responses, requests) })
 	directions.Wait()
 }
 
@@ -163,20 +175,19 @@
 	return l.fault == Reset
 }
 
-// copyDirection forwards one direction; blocking is the fault that holds back the
-// bytes of this direction alone, blockingBack the one of the other direction, in which the
+// copyDirection forwards the bytes of the direction forth; in the direction back the
 // receiver's reset travels.
-func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, blocking, blockingBack string) {
+func (l *Link) copyDirection(conn *connection, to, from *net.TCPConn, forth, back direction) {
 	buf := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buf)
 		if err != nil && from == conn.server {
 			l.onServerEnd()
 		}
-		l.awaitFault(blocking)
+		l.awaitFault(forth)
 		if n > 0 {
 			if _, werr := to.Write(buf[:n]); werr != nil {
-				l.awaitFault(blockingBack)
+				l.awaitFault(back)
 				conn.reset()
 				return
 			}
@@ -192,27 +203,40 @@
 	}
 }
 
-// awaitFault waits while a fault holds bytes back. The named fault and BlockBoth
-// hold them until the fault changes, Delay for its delay.
-func (l *Link) awaitFault(blocking string) {
+// awaitFault waits while a fault holds bytes back. The blocking fault and BlockBoth
+// hold them until the fault changes, Delay for its delay, and the losing fault for its
+// delay, or each time twice as long, while packets are lost.
+func (l *Link) awaitFault(d direction) {
+	retransmissions := 0
 	for {
 		l.mu.Lock()
 		fault, delay, changed := l.fault, l.delay, l.faultChanged
 		l.mu.Unlock()
 		switch fault {
-		case blocking, BlockBoth:
+		case d.blocking, BlockBoth:
 			<-changed
 			continue
-		case Delay:
-			select {
-			case <-time.After(delay):
-			case <-changed:
+		case d.losing:
+			if rand.IntN(lossOdds) != 0 {
+				return
 			}
+			awaitOrChanged(delay<<retransmissions, changed)
+			retransmissions++
+			continue
+		case Delay:
+			awaitOrChanged(delay, changed)
 		}
 		return
 	}
 }
 
+func awaitOrChanged(d time.Duration, changed <-chan struct{}) {
+	select {
+	case <-time.After(d):
+	case <-changed:
+	}
+}
+
 // reset closes both sides with RST, as a crash of a process does.
 func (c *connection) reset() {
 	c.client.SetLinger(0)
--- a/soak/check.go
+++ b/soak/check.go
@@ -13,7 +13,7 @@
 const (
 	RuleOrder       = "ORDER"    // a stream has all its events once, in order, and no events of other streams
 	RuleAnswer      = "MIXED"    // an answer is complete and is the answer of the stamped target to this call
-	RuleAtMostOnce  = "TWICE"    // an unsafe call runs at most once
+	RuleAtMostOnce  = "TWICE"    // an unsafe call runs at most once, and a stream at one target at a time
 	RuleNotRun      = "NOTRUN"   // a call that is rejected as not run never runs
 	RuleForwarding  = "UNASKED"  // targets get what callers sent, for the caller's organisation
 	RuleRevoked     = "REVOKED"  // a removed key is rejected within revokeDelay
@@ -76,19 +76,23 @@
 		history    History
 		calls      map[string]*Call
 		attempts   map[string][]Record // RecordStarted records by call
+		stalls     map[string][]Record // RecordStalled records by target
 		violations []Violation
 	}
 )
 
 // Check returns the violations in a history.
 func Check(h History) []Violation {
-	c := &checker{history: h, calls: map[string]*Call{}, attempts: map[string][]Record{}}
+	c := &checker{history: h, calls: map[string]*Call{}, attempts: map[string][]Record{}, stalls: map[string][]Record{}}
 	for i := range h.Calls {
 		c.calls[h.Calls[i].ID] = &h.Calls[i]
 	}
 	for _, r := range h.Records {
-		if r.Kind == RecordStarted {
+		switch r.Kind {
+		case RecordStarted:
 			c.attempts[r.Call] = append(c.attempts[r.Call], r)
+		case RecordStalled:
+			c.stalls[r.Target] = append(c.stalls[r.Target], r)
 		}
 	}
 	for i := range h.Calls {
@@ -105,6 +109,7 @@
 		c.checkAttempts(id, attempts)
 	}
 	c.checkReverts()
+	c.checkHandovers()
 	c.checkDraining()
 	c.checkDrainingAnswers()
 	c.checkBackoffs()
--- a/soak/records.go
+++ b/soak/records.go
@@ -16,12 +16,14 @@
 const (
 	RecordStarted  = "begun"
 	RecordEnded    = "ended"
+	RecordStopped  = "stopped" // the target has seen the end of the connection of a call that it runs
 	RecordDraining = "leaving" // the store has acknowledged the row that says so
 	RecordCrashed  = "crashed" // a poison request crashes the target
 	RecordLimited  = "limited" // the target names a rate limit from now on
 	RecordEndless  = "endless" // an answer without an end, when its connection is closed
 	RecordBackoff  = "backoff" // the target rejects a call and asks for a backoff
 	RecordArrived  = "arrived" // the target receives a call, which it may reject
+	RecordStalled  = "stalled" // the target's process got no processor time
 	RecordBooted   = "booted"  // a process of the target starts; it may have the id of an earlier one
 )
 
@@ -68,8 +70,8 @@
 		Error        string   `json:"error"`
 	}
 
-	// Record is what a target recorded: the start or end of an attempt, that the target
-	// is draining, a crash, a rate limit, a backoff, or the start of its process.
+	// Record is what a target recorded: the start or end of an attempt, that the attempt is
+	// told to stop, that the target is draining, a crash, a rate limit, a backoff, or the start of its process.
 	Record struct {
 		Kind         string `json:"kind"`
 		Call         string `json:"call"`
@@ -87,7 +89,7 @@
 		RemainingMs int64 `json:"remainingMs,omitempty"` // of RecordArrived: the time that the target is given; 0: none is named
 
 		Answer  string `json:"answer,omitempty"`  // of RecordEndless: what has no end
-		LastsMs int64  `json:"lastsMs,omitempty"` // of RecordEndless: time until the connection was closed
+		LastsMs int64  `json:"lastsMs,omitempty"` // of RecordEndless: time until the connection was closed; of RecordStalled: the time up to At
 
 		Rate  float64 `json:"rate,omitempty"`  // of RecordLimited, requests a second
 		Until int64   `json:"until,omitempty"` // when the target stops to name the limit, unless it ends before; of RecordBackoff: the end of the backoff
@@ -113,6 +115,12 @@
 		EndedAt   int64 `json:"over"`
 	}
 
+	// Stall is a time without processor time for a process.
+	Stall struct {
+		StartedAt int64 `json:"begun"`
+		EndedAt   int64 `json:"over"`
+	}
+
 	// UnexpectedExit is a process that exited without being stopped, or did not exit in
 	// time.
 	UnexpectedExit struct {
@@ -132,11 +140,13 @@
 	// History holds all records of an execution.
 	History struct {
 		Deployment Deployment
+		Size       Size
 		StartedAt  int64
 		Calls      []Call
 		Records    []Record
 		Changes    []Change
 		Faults     []InjectedFault
+		Stalls     []Stall // of the soak test's own process, which holds the links
 		Exits      []UnexpectedExit
 		Usage      []Usage
 	}
