--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -282,7 +282,7 @@
 			}
 		case <-lost:
 			now := clock.Now()
-			if a.mayFailOver(ctx, now) {
+			if a.reserveFailover(ctx, now) {
 				return errTargetLost
 			}
 			lost, a.lostAt = nil, now
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -91,7 +91,7 @@
 	if !a.headReceived && a.replicaTarget == nil {
 		checkAfter = scaled(headConnCheckShare, a.intervalObjective)
 	}
-	if (silence >= failoverAfter || a.lostAt != 0) && a.mayFailOver(ctx, now) {
+	if (silence >= failoverAfter || a.lostAt != 0) && a.reserveFailover(ctx, now) {
 		a.recordSilence(silence)
 		return true
 	}
@@ -102,21 +102,23 @@
 	return false
 }
 
-// mayFailOver reports whether an attempt whose target seems silent or lost may be given up, and
-// reserves a retry for that. If something of the target waits to be read, the instance was slow
-// and not the target. Reserving may take a while, in which more arrives.
-func (a *attempt) mayFailOver(ctx context.Context, now clock.Time) bool {
-	return !a.hasUnseen() && a.reserveFailover(ctx, now) && !a.hasUnseen()
+// reserveFailover reserves a retry for the failover of an attempt whose target seems silent or
+// lost, and reports whether the stream may fail over. It may not if something of the target waits
+// to be read, since the instance was slow then and not the target. Reserving may take a while, in
+// which more arrives.
+func (a *attempt) reserveFailover(ctx context.Context, now clock.Time) bool {
+	return !a.hasUnseen() && a.obtainRetry(ctx, now) && !a.hasUnseen()
 }
 
-// hasUnseen reports whether something has arrived from the target that watch has not seen yet.
+// hasUnseen reports whether something has arrived from the target that watch has not seen yet: the
+// sender holds it, it is in the queue, or nobody has read it from the connection.
 func (a *attempt) hasUnseen() bool {
 	return a.emitting.Load() || len(a.results) > 0 || a.reply != nil && a.reply.hasUnread()
 }
 
-// reserveFailover reserves a retry for a failover and reports whether the retry budget
-// allowed the retry. If not, the attempt goes on: its target may only be slow.
-func (a *attempt) reserveFailover(ctx context.Context, now clock.Time) bool {
+// obtainRetry reports whether the retry budget allowed a failover. If not, the attempt goes on:
+// its target may only be slow.
+func (a *attempt) obtainRetry(ctx context.Context, now clock.Time) bool {
 	if a.s.obtainRetry(ctx) {
 		return true
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -119,7 +119,7 @@
 		endWatch func() bool // ends the watch for the end of the request's context
 		last     bool        // the target closes the connection after it
 		complete atomic.Bool // read to its end
-		close    sync.Once
+		closing  sync.Once
 	}
 )
 
@@ -233,7 +233,7 @@
 // request sent on it.
 func Discard(resp *http.Response) {
 	if b, ok := resp.Body.(*body); ok {
-		b.close.Do(b.discard)
+		b.closing.Do(b.discard)
 	}
 }
 
@@ -360,7 +360,7 @@
 
 func (b *body) Close() error {
 	var err error
-	b.close.Do(func() { err = b.release() })
+	b.closing.Do(func() { err = b.release() })
 	return err
 }
 
