--- a/process/process.go
+++ b/process/process.go
@@ -41,8 +41,9 @@
 
 	// Usage holds the resources that a process uses.
 	Usage struct {
-		MemoryMB  int // resident set size
-		OpenFiles int // open file descriptors
+		MemoryMB     int // resident set size
+		PeakMemoryMB int // largest resident set size since the start
+		OpenFiles    int // open file descriptors
 	}
 )
 
@@ -189,13 +190,16 @@
 	}
 	u := Usage{OpenFiles: len(descriptors)}
 	for line := range strings.Lines(string(status)) {
-		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			n, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(kb), "kB")))
-			if err != nil {
-				return Usage{}, err
-			}
-			u.MemoryMB = n >> 10
+		name, value, _ := strings.Cut(line, ":")
+		field, ok := map[string]*int{"VmRSS": &u.MemoryMB, "VmHWM": &u.PeakMemoryMB}[name]
+		if !ok {
+			continue
 		}
+		kb, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
+		if err != nil {
+			return Usage{}, err
+		}
+		*field = kb >> 10
 	}
 	return u, nil
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -40,6 +40,11 @@
 			c.fail("$.engine."+k, fmt.Sprintf("must not be negative, have %d", v))
 		}
 	}
+	for k, v := range map[string]int{"memoryMB": f.Limits.MemoryMB, "descriptors": f.Limits.Descriptors} {
+		if v < 0 {
+			c.fail("$.limits."+k, fmt.Sprintf("must not be negative, have %d", v))
+		}
+	}
 	models := map[string]bool{}
 	for i, m := range f.Models {
 		p := fmt.Sprintf("$.models[%d]", i)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -36,6 +36,14 @@
 	FencingIgnore = "ignore" // runs the call
 )
 
+// Shares of a process's limits.
+const (
+	clientShare     = 0.3 // of the memory
+	heapShare       = 0.7 // of the memory
+	clientConnShare = 0.5 // of the descriptors
+	minClientConns  = 8
+)
+
 var (
 	// ErrInvalid is wrapped by all errors about the content of a file.
 	ErrInvalid = errors.New("invalid settings")
@@ -61,6 +69,7 @@
 		Entries    []Entry  `yaml:"entries"`
 		Targets    []Target `yaml:"targets"`
 		Log        Log      `yaml:"log"`
+		Limits     Limits   `yaml:"limits"`
 	}
 
 	// Platform is the address and zone of the table service and object store.
@@ -119,6 +128,12 @@
 		Fencing string   `yaml:"fencing"`
 	}
 
+	// Limits are what each process of the deployment may hold.
+	Limits struct {
+		MemoryMB    int `yaml:"memoryMB"`    // memory, in MiB
+		Descriptors int `yaml:"descriptors"` // open file descriptors
+	}
+
 	// Log configures the log output.
 	Log struct {
 		Level string `yaml:"level"`
@@ -229,6 +244,8 @@
 	setDefault(&e.Batch, 32)
 	setDefault(&e.CacheBlocks, 256)
 	setDefault(&e.LoadLagMs, 500)
+	setDefault(&f.Limits.MemoryMB, 256)
+	setDefault(&f.Limits.Descriptors, 4096)
 	for i := range f.Targets {
 		if f.Targets[i].Kind == KindEngine && f.Targets[i].Fencing == "" {
 			f.Targets[i].Fencing = FencingRefuse
@@ -279,5 +296,18 @@
 	return slices.ContainsFunc(f.Models, func(m Model) bool { return m.Name == model })
 }
 
+// ClientMemory returns how many bytes clients may make a process hold.
+func (l Limits) ClientMemory() int64 { return int64(clientShare * float64(l.bytes())) }
+
+// HeapBytes returns the soft limit on the memory that the Go runtime uses, in bytes.
+func (l Limits) HeapBytes() int64 { return int64(heapShare * float64(l.bytes())) }
+
+func (l Limits) bytes() int64 { return int64(l.MemoryMB) << 20 }
+
+// ClientConns returns how many connections the clients of a process may have open.
+func (l Limits) ClientConns() int {
+	return max(minClientConns, int(clientConnShare*float64(l.Descriptors)))
+}
+
 // Ms converts milliseconds to a duration.
 func Ms(v int) time.Duration { return time.Duration(v) * time.Millisecond }
