instance: clients' connections are bounded at all addresses of an instance

Cause: bodies had a quarter of the memory, answers 0.15; connections and heads had no bound, and max_fds was not read. Heads could have 1 MiB whatever the desired state said, and take 5 s from the accept on.

Change: the three addresses are served through package downstream, with 0.3 of memory_mb in all for what clients make the instance hold (bodies and answers among it), and 0.35, 0.15 and 0.02 of max_fds for callers, other instances and readiness checks. max_header_bytes, header_timeout_ms and idle_timeout_ms of the desired state are in force at the callers' address. A drain closes connections that have not sent a whole request for a second.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/discovery"
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/exchange"
 	"github.com/ragworthitch/ragworthitch/fairshare"
 	"github.com/ragworthitch/ragworthitch/ingress"
@@ -55,12 +56,16 @@
 	// heapFraction of the memory limit is the soft memory limit of the Go runtime.
 	heapFraction = 0.7
 
-	// bodyFraction of the memory limit bounds the bodies of calls in progress.
-	bodyFraction = 0.25
-
-	// answerFraction of the memory limit bounds the parts of answers that callers have
-	// not accepted yet.
-	answerFraction = 0.15
+	// clientFraction of the memory limit bounds what clients make this instance hold:
+	// connections, heads, bodies and answers that they have not accepted yet.
+	clientFraction = 0.3
+	// Fractions of the limit on descriptors that the connections of callers, of other
+	// instances and of the load balancer's readiness checks may take. The rest is for
+	// connections to targets, to the store and to other instances, and for files.
+	callerConnFraction    = 0.35
+	internalConnFraction  = 0.15
+	readinessConnFraction = 0.02
+	minConns              = 8
 
 	// announceTimeout bounds a write of this instance's entry or a call for cache
 	// locations, and is the delay after a failed one.
@@ -75,14 +80,16 @@
 
 	metricsPath = "/metrics"
 
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second // longer than the idle timeouts that operators set
 	// writeTimeout bounds the writing of answers that set no deadline of their own.
 	writeTimeout = 5 * time.Second
 
 	// drainAcceptPeriod is how long a draining instance still accepts calls: the
 	// load balancer checks readiness every second and acts on the second failure.
 	drainAcceptPeriod = 2500 * time.Millisecond
+	// drainPatience is how long a draining instance waits for the rest of a request, and
+	// drainCheckInterval how often it looks for callers that take longer.
+	drainPatience      = time.Second
+	drainCheckInterval = 200 * time.Millisecond
 	// drainMargin is what is left of the grace period when open streams are closed.
 	drainMargin = 300 * time.Millisecond
 )
@@ -97,6 +104,7 @@
 	cacheLocations cachelocation.Table
 	handler        *ingress.Handler
 	peers          *exchange.Exchange // known peers and views sent to them
+	callListener   *downstream.Listener
 	callServer     *http.Server
 	metrics        http.Handler
 	unreadable     *platform.UnreadableRows
@@ -109,7 +117,7 @@
 	shares         fairshare.Tracker // usage of organisations at all instances
 	rollouts       rollout.Tracker
 	startedAt      clock.Time
-	bodyMemory     *admit.Memory // limit on the bodies of calls in progress
+	clients        *downstream.Guard
 	gate           admit.Gate    // refuses callers' connections while there is too little processor time
 	targetsRead    atomic.Bool   // the table of targets has been read
 	instancesRead  atomic.Bool   // the table of instances, with crash records, has been read
@@ -126,7 +134,7 @@
 	i := &Instance{startedAt: clock.Now(), started: make(chan struct{}), settings: settings, log: log, store: platform.NewStore(settings.Store()), metrics: metrics, unreadable: platform.NewUnreadableRows(log, scope),
 		desiredState: desired.NewTracker(desired.Ages{Reject: scale(rejectAgeFraction, bounds.Config), Key: scale(keyAgeFraction, bounds.Revoke)})}
 	i.store.CountCalls(scope)
-	i.bodyMemory = admit.NewMemory(int64(bodyFraction * float64(settings.Memory())))
+	i.clients = downstream.NewGuard(int64(clientFraction*float64(settings.Memory())), log, scope)
 	i.gate.Log = log
 	if scope != nil {
 		i.gate.OnRefuse = func() { scope.Counter("connections_refused").Inc(1) }
@@ -152,7 +160,7 @@
 	})
 	i.handler = ingress.New(ingress.Config{Zone: settings.Zone(), DesiredState: i.desiredState, Targets: &i.targets, CacheLocations: &i.cacheLocations, RetryBudget: i.budget, BorrowRetries: borrower.Borrow,
 		Sender: platform.Sender{UnknownHeaders: &platform.UnknownHeaders{Log: log}}, Ready: i.Ready, Started: i.started, NotifyPeers: i.peers.SendNow, PoisonTracker: &i.poisonTracker, Rollouts: &i.rollouts, RateLimits: i.permits.Group, Shares: &i.shares, BorrowPermits: borrowPermits,
-		ClaimProbes: i.claimProbes, UnseenFactor: i.peers.UnseenFactor, Differentiated: i.desiredState.IsDifferentiated, AnswerMemory: admit.NewMemory(int64(answerFraction * float64(settings.Memory()))), Log: log, Scope: scope})
+		ClaimProbes: i.claimProbes, UnseenFactor: i.peers.UnseenFactor, Differentiated: i.desiredState.IsDifferentiated, AnswerMemory: i.clients.Memory(), Log: log, Scope: scope})
 	return i
 }
 
@@ -196,8 +204,9 @@
 	p.Go(i.persistCrashes)
 	p.Go(i.runRollouts)
 	p.Go(i.runGate)
-	i.callServer = i.serve(p, i.gate.Listen(callListener), http.DefaultMaxHeaderBytes, &platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.bodyMemory, Log: i.log})
-	i.serve(p, readinessListener, upstream.MaxHeadBytes, platform.Ready(i.Ready))
+	i.callListener, i.callServer = i.serve(p, i.gate.Listen(callListener), downstream.ListenerConfig{Name: "front", MaxConns: i.maxConns(callerConnFraction), Limits: i.limits},
+		&platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.clients.Memory(), Log: i.log})
+	i.serve(p, readinessListener, downstream.ListenerConfig{Name: "ready", MaxConns: i.maxConns(readinessConnFraction), Limits: internalLimits}, platform.Ready(i.Ready))
 	i.serveInternal(p)
 	p.Go(func(lifetime context.Context) error {
 		select {
@@ -246,7 +255,7 @@
 }
 
 func listen(audience, addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := downstream.Listen(addr)
 	if err != nil {
 		return nil, oops.In("instance").With("audience", audience, "address", addr).Wrapf(err, "listen for %s", audience)
 	}
@@ -260,12 +269,27 @@
 	return ragworthitch.Limits{}
 }
 
-// serve runs an HTTP server on ln until the group stops. Heads of requests may have
-// maxHeadBytes.
-func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, maxHeadBytes int, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, MaxHeaderBytes: maxHeadBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
+// internalLimits are the limits on requests of the load balancer and of other instances.
+func internalLimits() ragworthitch.Limits {
+	return ragworthitch.Limits{HeaderBytes: upstream.MaxHeadBytes}
+}
+
+// maxConns returns the number of connections that a fraction of the limit on descriptors
+// allows; 0: no limit.
+func (i *Instance) maxConns(fraction float64) int {
+	if i.settings.Descriptors() <= 0 {
+		return 0
+	}
+	return max(minConns, int(fraction*float64(i.settings.Descriptors())))
+}
+
+// serve runs an HTTP server for the clients of ln until the group stops.
+func (i *Instance) serve(p *pool.ContextPool, ln net.Listener, cfg downstream.ListenerConfig, h http.Handler) (*downstream.Listener, *http.Server) {
+	cfg.WriteTimeout = writeTimeout
+	guarded := i.clients.Wrap(ln, cfg)
+	srv := guarded.Server(h)
 	p.Go(func(context.Context) error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(guarded); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -274,7 +298,7 @@
 		<-ctx.Done()
 		return srv.Close()
 	})
-	return srv
+	return guarded, srv
 }
 
 // serveInternal serves metrics and connections of peers.
@@ -295,7 +319,7 @@
 	if i.metrics != nil {
 		r.Handler(http.MethodGet, metricsPath, i.metrics)
 	}
-	i.serve(p, ln, upstream.MaxHeadBytes, r)
+	i.serve(p, ln, downstream.ListenerConfig{Name: "internal", MaxConns: i.maxConns(internalConnFraction), Limits: internalLimits}, r)
 	p.Go(i.peers.Run)
 	p.Go(i.announce)
 }
@@ -323,6 +347,13 @@
 	return nil
 }
 
+// closeWaiting closes the connections of callers that would hold up a drain, until ctx ends.
+func (i *Instance) closeWaiting(ctx context.Context) {
+	for clock.Sleep(ctx, drainCheckInterval) {
+		i.callListener.CloseWaiting(drainPatience)
+	}
+}
+
 // drain stops accepting calls after drainAcceptPeriod and waits for those in progress.
 // Streams that would outlast the grace period are closed before its end, so that their
 // callers can resume at other instances.
@@ -338,6 +369,7 @@
 	// when their call ends.
 	ctx, cancel := context.WithTimeout(lifetime, grace-drainMargin-drainAcceptPeriod)
 	defer cancel()
+	go i.closeWaiting(ctx)
 	err := i.callServer.Shutdown(ctx)
 	i.log.Info().Int("active", i.handler.Active()).Dur("after", clock.Now().Sub(start)).AnErr("cut", err).Msg("instance: drain ended")
 }
