platform, ingress: calls that are not allowed are answered before their bodies are read

A body had 10 s whatever time its call had: one that the caller's time allows was answered 400, which callers don't retry, and one whose route's time was over was waited for. A body that declares far more than is allowed was read up to the limit first.

Change: CheckHead judges the call by its head; Serve judges it again with the body.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -258,6 +258,29 @@
 	stream.serve(ctx)
 }
 
+// CheckHead checks a call whose body has not been read yet. If the desired state does not
+// allow the call, CheckHead answers it and returns false. Otherwise it returns the time that
+// the call has left, or 0 if that is not known yet; Serve checks the call again.
+func (h *Handler) CheckHead(rw http.ResponseWriter, call *Call) (left time.Duration, ok bool) {
+	now := clock.Now()
+	grant, err := h.desiredState.Judge(now, call.Host, call.Path, call.Key, rand.Float64())
+	switch {
+	case errors.Is(err, desired.ErrNoRoute), errors.Is(err, desired.ErrNoKey):
+		if h.Draining() || !h.isReady() {
+			rw.Header().Set("Connection", "close")
+		}
+		h.deny(newCallerWriter(rw), call, grant, err)
+		return 0, false
+	case err != nil:
+		return call.Timeout, true
+	}
+	left = grant.Route.Timeout()
+	if call.Timeout > 0 {
+		left = min(left, call.Timeout)
+	}
+	return left - now.Sub(call.Received), true
+}
+
 // ServeComplete serves a call whose caller is not an HTTP connection and reports whether the
 // answer is complete. Like net/http's handlers, Serve panics with http.ErrAbortHandler to
 // end an answer that must not look complete.
