entry, handlers: what callers of the own interface make the process hold is bounded

Cause: the own interface had no bound on memory or connections at all; a body was decoded as it came, into buffers that double.

Bodies are read into the bounded memory, in 10 s, then decoded; 413, 408 and 503 say "not run". Each write to a caller has 5 s. A stream takes memory until it is forgotten: for its prompt and the tokens it may get. Finished streams make room for new ones, the oldest first; without room a generation is answered 503 and not run.

TestFinishedStreamsMakeRoom and the case "oversize body" of TestBadInputLeavesNothing are new.

--- a/cmd/ragworthitch/common.go
+++ b/cmd/ragworthitch/common.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/logs"
 	"github.com/ragworthitch/ragworthitch/settings"
 )
@@ -68,8 +69,22 @@
 	if err != nil {
 		return err
 	}
-	log.Info().Str("listen", addr).Msg(role + ": started")
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	return serveOn(ctx, log, role, ln, &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}, tasks...)
+}
+
+// serveClients is like serveHTTP for clients that the deployment does not control. They get a
+// share of what the process may hold.
+func serveClients(ctx context.Context, log zerolog.Logger, role, addr string, clients *downstream.Guard, cfg downstream.ListenerConfig, h http.Handler, tasks ...func(context.Context) error) error {
+	ln, err := downstream.Listen(addr)
+	if err != nil {
+		return err
+	}
+	guarded := clients.Wrap(ln, cfg)
+	return serveOn(ctx, log, role, guarded, guarded.Server(h), tasks...)
+}
+
+func serveOn(ctx context.Context, log zerolog.Logger, role string, ln net.Listener, srv *http.Server, tasks ...func(context.Context) error) error {
+	log.Info().Stringer("listen", ln.Addr()).Msg(role + ": started")
 	p := pool.New().WithContext(ctx).WithCancelOnError()
 	p.Go(func(ctx context.Context) error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -87,7 +102,7 @@
 	for _, f := range tasks {
 		p.Go(f)
 	}
-	err = p.Wait()
+	err := p.Wait()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/cmd/ragworthitch/entry.go
+++ b/cmd/ragworthitch/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -32,11 +33,12 @@
 	log := newLogger(cfg, self.Name, self.Zone)
 	scope, reporter, closeScope := metrics.New(self.Name)
 	defer closeScope()
+	debug.SetMemoryLimit(cfg.Limits.HeapBytes())
 	e, err := entry.New(cfg, self.Name, log, scope)
 	if err != nil {
 		return fail(err)
 	}
-	if err := serveHTTP(ctx, log, "entry", self.Listen, handlers.New(e, reporter), e.Run); err != nil {
+	if err := serveClients(ctx, log, "entry", self.Listen, e.Clients(), handlers.Listener(cfg), handlers.New(e, reporter), e.Run); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("entry: stopped")
--- a/entry/checkpoint.go
+++ b/entry/checkpoint.go
@@ -178,7 +178,11 @@
 	s.isPromptSaved = true
 	s.rowVersion, s.attempt = row.Version, request.Attempt
 	s.isDone = len(s.tokens) >= prompt.MaxTokens
+	if !s.reserve() {
+		return nil, fmt.Errorf("%w: %s", ErrNoMemory, id)
+	}
 	if !e.register(s) {
+		s.free()
 		// A concurrent reconnect has taken the stream over.
 		if got := e.stream(id); got != nil {
 			return got, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/ragworthitch/ragworthitch/budget"
 	"github.com/ragworthitch/ragworthitch/cachelocation"
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/ingress"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/registry"
@@ -43,6 +44,8 @@
 	ErrFailed = errors.New("entry: call failed")
 	// ErrUnknownOutcome is returned when a non-idempotent call may have run.
 	ErrUnknownOutcome = errors.New("entry: outcome unknown")
+	// ErrNoMemory is returned when there is no memory for a stream, which was not run.
+	ErrNoMemory = errors.New("entry: no memory for the stream")
 	// ErrDuplicate is returned when a request id is already in use.
 	ErrDuplicate = errors.New("entry: request id already in use")
 	// ErrUnknownStream is returned when there is no stream with a request id.
@@ -59,6 +62,7 @@
 		log            zerolog.Logger
 		store          *platform.Client
 		scope          tally.Scope
+		clients        *downstream.Guard
 		callHandler    *ingress.Handler
 		members        registry.Registry // targets whose agents are connected
 		cacheLocations cachelocation.Table
@@ -66,10 +70,11 @@
 		mu      sync.Mutex
 		targets map[string]*target
 
-		streams [streamShards]streamShard
-		callSeq atomic.Int64 // attempt number of the last plain call
-		stats   Stats
-		ready   atomic.Bool
+		streams  [streamShards]streamShard
+		finished finishedStreams
+		callSeq  atomic.Int64 // attempt number of the last plain call
+		stats    Stats
+		ready    atomic.Bool
 
 		ctxMu sync.Mutex
 		ctx   context.Context // of Run; nil before Run
@@ -111,13 +116,16 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{cfg: cfg, self: self, log: log, scope: scope,
+	e := &Entry{cfg: cfg, self: self, log: log, scope: scope, clients: downstream.NewGuard(cfg.Limits.ClientMemory(), log, scope),
 		store: platform.NewClient(cfg.Platform.Listen, storeTimeout), targets: map[string]*target{}}
 	e.callHandler = ingress.New(ingress.Config{Zone: self.Zone, DesiredState: desiredState, Targets: &e.members, CacheLocations: &e.cacheLocations,
-		RetryBudget: budget.New(retryLimit), Sender: sender{e}, TargetWait: settings.Ms(cfg.Timeouts.StallMs), Log: log, Scope: scope})
+		RetryBudget: budget.New(retryLimit), Sender: sender{e}, TargetWait: settings.Ms(cfg.Timeouts.StallMs), AnswerMemory: e.clients.Memory(), Log: log, Scope: scope})
 	return e, nil
 }
 
+// Clients returns the guard of what clients make this process hold.
+func (e *Entry) Clients() *downstream.Guard { return e.clients }
+
 // Settings returns the deployment's settings.
 func (e *Entry) Settings() *settings.File { return e.cfg }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -35,6 +35,7 @@
 		e         *Entry
 		req       ragworthitch.Request
 		prompt    string
+		memory    int // bytes taken for the stream
 		log       zerolog.Logger
 		stop      context.CancelFunc // cancels the generation
 		started   chan struct{}      // closed when the first attempt starts, or when there is no target
@@ -82,7 +83,11 @@
 		return nil, fmt.Errorf("%w: %q may not use %q", ragworthitch.ErrUnknownModel, req.Org(), req.Model())
 	}
 	s := newStream(e, req, prompt)
+	if !s.reserve() {
+		return nil, fmt.Errorf("%w: %s", ErrNoMemory, req.ID())
+	}
 	if !e.register(s) {
+		s.free()
 		return nil, fmt.Errorf("%w: %s", ErrDuplicate, req.ID())
 	}
 	s.run(1)
@@ -133,7 +138,9 @@
 	defer sh.mu.Unlock()
 	if sh.byID[s.req.ID()] == s {
 		delete(sh.byID, s.req.ID())
+		s.free()
 	}
+	e.finished.remove(s)
 }
 
 // Attach returns the stream with a request id. If this instance doesn't have the
@@ -304,5 +311,9 @@
 	s.checkpointIfDue(true)
 	s.mu.Unlock()
 	s.e.scope.Counter("tokensDelivered").Inc(int64(s.deliveredTokens()))
-	time.AfterFunc(finishedStreamTTL, func() { s.e.unregister(s) })
+	e, number := s.e, s.e.finished.add(s)
+	time.AfterFunc(finishedStreamTTL, func() {
+		for e.dropOldest(number) {
+		}
+	})
 }
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +114,28 @@
 	assert.Equal(t, 2, starts[0].Attempt)
 	assert.Len(t, starts[0].Prefix, 33)
 }
+
+// Guards against finished streams that take all memory, and against streams that are kept
+// though nobody can reconnect to them.
+func TestFinishedStreamsMakeRoom(t *testing.T) {
+	p := rwtest.StartPlatform(t)
+	rwtest.StartAgent(t, p, &rwtest.FakeAgent{Name: "a"}, "engine", []string{"m"})
+	cfg := rwtest.Settings(t, p.Addr)
+	cfg.Limits.MemoryMB = 1
+	e, err := entry.New(cfg, "en1", zerolog.Nop(), nil)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.Run(ctx)
+	require.Eventually(t, e.Ready, 2*time.Second, 10*time.Millisecond)
+	for i := range 30 {
+		s, err := e.Generate(ctx, longRequest(fmt.Sprint("s", i), 5), "p")
+		require.NoError(t, err)
+		toks, err := collect(t, s)
+		require.NoError(t, err)
+		assertChain(t, toks, 5)
+		assert.LessOrEqual(t, e.Clients().Memory().Used(), cfg.Limits.ClientMemory())
+	}
+	_, err = e.Generate(ctx, longRequest("large", 5), strings.Repeat("p", 200_000))
+	assert.ErrorIs(t, err, entry.ErrNoMemory)
+}
--- a/handlers/caller.go
+++ b/handlers/caller.go
@@ -1,16 +1,19 @@
 package handlers
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/admit"
 	"github.com/ragworthitch/ragworthitch/entry"
 )
 
@@ -54,7 +57,7 @@
 // an event is the offset of its token.
 func (c callerAPI) generate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var b generateBody
-	if !decodeBody(w, r, &b) {
+	if !c.decodeBody(w, r, &b) {
 		return
 	}
 	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
@@ -74,7 +77,7 @@
 func (c callerAPI) reconnect(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	s, err := c.e.Attach(r.Context(), p.ByName("id"))
 	switch {
-	case errors.Is(err, entry.ErrOwnedElsewhere):
+	case errors.Is(err, entry.ErrOwnedElsewhere), errors.Is(err, entry.ErrNoMemory):
 		writeError(w, http.StatusServiceUnavailable, err.Error(), false, 1)
 		return
 	case err != nil:
@@ -135,7 +138,7 @@
 		return
 	}
 	var b callBody
-	if !decodeBody(w, r, &b) {
+	if !c.decodeBody(w, r, &b) {
 		return
 	}
 	req := ragworthitch.NewRequest(ragworthitch.RequestParams{
@@ -164,7 +167,7 @@
 		writeError(w, http.StatusConflict, err.Error(), true, 0)
 	case errors.Is(err, entry.ErrUnknownOutcome):
 		writeError(w, http.StatusConflict, err.Error(), false, c.retryAfter())
-	case errors.Is(err, entry.ErrNoTarget), errors.Is(err, entry.ErrNotRun):
+	case errors.Is(err, entry.ErrNoTarget), errors.Is(err, entry.ErrNoMemory), errors.Is(err, entry.ErrNotRun):
 		writeError(w, http.StatusServiceUnavailable, err.Error(), true, c.retryAfter())
 	default:
 		// An idempotent call has failed and may have run.
@@ -172,16 +175,45 @@
 	}
 }
 
-// decodeBody decodes a JSON body without unknown fields. On failure it answers
-// 400 and returns false.
-func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
-	dec := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
-		writeError(w, http.StatusBadRequest, "bad request body: "+err.Error(), true, 0)
-		return false
-	}
-	return true
+// decodeBody decodes a JSON body without unknown fields. If it cannot, the call is answered
+// as not run, and decodeBody returns false.
+func (c callerAPI) decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	memory := c.e.Clients().Memory()
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		c.e.Log().Debug().Err(err).Msg("entry: could not set the read deadline")
+	}
+	b, err := memory.Read(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	defer memory.Free(len(b))
+	if err == nil && !memory.TryReserve(len(b)) { // for the decoded values
+		err = admit.ErrNoMemory
+	} else if err == nil {
+		defer memory.Free(len(b))
+		dec := json.NewDecoder(bytes.NewReader(b))
+		dec.DisallowUnknownFields()
+		err = dec.Decode(v)
+	}
+	if err == nil {
+		return true
+	}
+	status, retryAfter := c.bodyStatus(err)
+	w.Header().Set("Connection", "close")
+	writeError(w, status, "bad request body: "+err.Error(), true, retryAfter)
+	return false
+}
+
+// bodyStatus returns the status and the Retry-After for a body that was not accepted.
+func (c callerAPI) bodyStatus(err error) (status, retryAfter int) {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge, 0
+	case errors.Is(err, admit.ErrNoMemory):
+		return http.StatusServiceUnavailable, c.retryAfter()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, 0
+	}
+	return http.StatusBadRequest, 0
 }
 
 func countWords(s string) int {
--- a/handlers/caller_test.go
+++ b/handlers/caller_test.go
@@ -68,6 +68,7 @@
 		{"unknown organisation", "b3", `{"org":"x","model":"m","maxTokens":5}`, http.StatusBadRequest, "unknown organisation"},
 		{"unknown model", "b4", `{"org":"o","model":"x","maxTokens":5}`, http.StatusBadRequest, "unknown model"},
 		{"oversize prompt", "b5", `{"org":"o","model":"m","maxTokens":5,"prompt":"` + strings.Repeat("w ", 40000) + `"}`, http.StatusRequestEntityTooLarge, "prompt too large"},
+		{"oversize body", "b7", `{"org":"o","model":"m","maxTokens":5,"prompt":"` + strings.Repeat("w", 1<<20) + `"}`, http.StatusRequestEntityTooLarge, "too large"},
 		{"no tokens asked", "b6", `{"org":"o","model":"m","maxTokens":0}`, http.StatusBadRequest, "maxTokens"},
 	}
 	for _, tt := range tests {
--- a/handlers/handlers.go
+++ b/handlers/handlers.go
@@ -6,11 +6,15 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/entry"
 	"github.com/ragworthitch/ragworthitch/metrics"
+	"github.com/ragworthitch/ragworthitch/settings"
 )
 
 // Headers of the caller API.
@@ -20,9 +24,18 @@
 	HeaderLastEventID    = "Last-Event-ID"
 )
 
-// maxBodyBytes bounds a request body, with room for a prompt of MaxPromptTokens
-// words.
-const maxBodyBytes = 1 << 20
+// Limits on callers' requests.
+const (
+	// maxBodyBytes bounds a request body, with room for a prompt of MaxPromptTokens
+	// words.
+	maxBodyBytes = 1 << 20
+	maxHeadBytes = 32 << 10
+	headTime     = 5 * time.Second
+	bodyTime     = 10 * time.Second
+	idleTime     = 60 * time.Second
+	// writeTimeout bounds each write of an answer.
+	writeTimeout = 5 * time.Second
+)
 
 // errorBody is the JSON body of an error.
 type errorBody struct {
@@ -31,6 +44,13 @@
 	RetryAfterS int    `json:"retryAfterS,omitempty"`
 }
 
+// Listener returns the configuration of the listener for callers.
+func Listener(cfg *settings.File) downstream.ListenerConfig {
+	limits := ragworthitch.Limits{HeaderBytes: maxHeadBytes, BodyBytes: maxBodyBytes, HeaderTime: headTime, IdleTime: idleTime}
+	return downstream.ListenerConfig{Name: "callers", MaxConns: cfg.Limits.ClientConns(), WriteTimeout: writeTimeout,
+		Limits: func() ragworthitch.Limits { return limits }}
+}
+
 // New returns the handler of the APIs of an entry instance; m may be nil.
 func New(e *entry.Entry, m *metrics.Reporter) http.Handler {
 	r := httprouter.New()
