agent, wire: what connections to an agent make it hold is bounded; all kinds of clients together

Change: an agent's address is served through package downstream like the others, and a message takes memory while it is read (wire.accept finds the memory of its listener; so do views, questions and loans between instances).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -17,6 +16,8 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/engine"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/service"
@@ -28,8 +29,8 @@
 // LeasePrefix is the key prefix of lease rows.
 const LeasePrefix = "lease/"
 
-// readHeaderTimeout bounds the time of a request's head.
-const readHeaderTimeout = 5 * time.Second
+// writeTimeout bounds each write to an entry instance.
+const writeTimeout = 5 * time.Second
 
 var (
 	// ErrNoLease is returned while the agent does not hold its lease.
@@ -92,11 +93,14 @@
 // Run serves until ctx ends, then drains the target. If a loop or the server
 // fails, Run stops the others and returns the error.
 func (a *Agent) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", a.target.Agent)
+	listener, err := downstream.Listen(a.target.Agent)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: upstream.MaxHeadBytes}
+	clients := downstream.NewGuard(a.cfg.Limits.ClientMemory(), a.log, nil)
+	ln := clients.Wrap(listener, downstream.ListenerConfig{Name: "entries", MaxConns: a.cfg.Limits.ClientConns(), WriteTimeout: writeTimeout,
+		Limits: func() ragworthitch.Limits { return ragworthitch.Limits{HeaderBytes: upstream.MaxHeadBytes} }})
+	srv := ln.Server(a.Handler())
 	// The loops run in a context of their own, so that they continue while the
 	// agent drains.
 	life, stop := context.WithCancel(context.Background())
--- a/cmd/ragworthitch/agent.go
+++ b/cmd/ragworthitch/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"runtime/debug"
 
 	"github.com/google/subcommands"
 
@@ -23,6 +24,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	debug.SetMemoryLimit(cfg.Limits.HeapBytes())
 	a, err := agent.New(cfg, t.Name, log)
 	if err != nil {
 		return fail(err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -18,7 +18,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +25,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/ragworthitch/ragworthitch/admit"
+	"github.com/ragworthitch/ragworthitch/downstream"
 	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
@@ -137,9 +138,10 @@
 	// Conn is a connection. Its methods that send are safe for concurrent use, those
 	// that receive are not.
 	Conn struct {
-		ws    *websocket.Conn
-		limit int64 // of a received message, in bytes
-		mu    sync.Mutex
+		ws     *websocket.Conn
+		limit  int64         // of a received message, in bytes
+		memory *admit.Memory // that the peer may take
+		mu     sync.Mutex
 	}
 )
 
@@ -215,7 +217,7 @@
 		return nil, fmt.Errorf("%w: dial %s: %w", ErrClosed, addr, upstream.HeadError(err))
 	}
 	ws.SetReadLimit(limit)
-	return &Conn{ws: ws, limit: limit}, nil
+	return &Conn{ws: ws, limit: limit, memory: &admit.Memory{}}, nil
 }
 
 func accept(w http.ResponseWriter, r *http.Request, limit int64) (*Conn, error) {
@@ -224,7 +226,7 @@
 		return nil, fmt.Errorf("%w: accept: %v", ErrClosed, err)
 	}
 	ws.SetReadLimit(limit)
-	return &Conn{ws: ws, limit: limit}, nil
+	return &Conn{ws: ws, limit: limit, memory: downstream.MemoryOf(r)}, nil
 }
 
 // Send writes a message.
@@ -261,7 +263,8 @@
 		return nil, fmt.Errorf("%w: %v", ErrClosed, err)
 	}
 	defer time.AfterFunc(messageTimeout, func() { cancel(errMessageTime) }).Stop()
-	b, err := io.ReadAll(r)
+	b, err := c.memory.Read(r)
+	defer c.memory.Free(len(b))
 	if err != nil && errors.Is(context.Cause(ctx), errMessageTime) {
 		return nil, fmt.Errorf("%w: %w", ErrClosed, errMessageTime)
 	}
