handlers, agent: faults can be injected only where the settings say so

What callers saw: POST /debug/fault at the callers' address of an entry instance ended the process, whoever sent it; at an agent it disconnected the target.

Cause: the endpoint for the load tool and the tests was served in every deployment.

Measured: TestNoFaultInjectionByDefault fails before (it ends the test process, exit status 3).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -143,7 +143,9 @@
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(wire.Path, a.serveWire)
-	mux.HandleFunc("POST /debug/fault", a.serveFault)
+	if a.cfg.FaultInjection {
+		mux.HandleFunc("POST /debug/fault", a.serveFault)
+	}
 	return mux
 }
 
--- a/handlers/caller_test.go
+++ b/handlers/caller_test.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// Whoever reaches the caller API must not be able to end the process.
+func TestNoFaultInjectionByDefault(t *testing.T) {
+	_, url := startCallerAPI(t, false)
+	assert.Equal(t, http.StatusNotFound, post(t, url+"/debug/fault", "", `{"kind":"die"}`).StatusCode)
+}
+
 // Without a target a request must be rejected at once, with a Retry-After header.
 func TestNoTargetRejectedAtOnce(t *testing.T) {
 	_, url := startCallerAPI(t, false)
--- a/handlers/handlers.go
+++ b/handlers/handlers.go
@@ -61,7 +61,9 @@
 	d := debugAPI{e: e, m: m}
 	r.GET("/healthz", d.health)
 	r.GET("/debug/stats", d.stats)
-	r.POST("/debug/fault", d.fault)
+	if e.Settings().FaultInjection {
+		r.POST("/debug/fault", d.fault)
+	}
 	if m != nil {
 		r.Handler(http.MethodGet, "/debug/metrics", m)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -70,6 +70,10 @@
 		Targets    []Target `yaml:"targets"`
 		Log        Log      `yaml:"log"`
 		Limits     Limits   `yaml:"limits"`
+
+		// FaultInjection serves POST /debug/fault, with which whoever reaches a process can
+		// end or disconnect it.
+		FaultInjection bool `yaml:"faultInjection"`
 	}
 
 	// Platform is the address and zone of the table service and object store.
