logs: a line has at most 8 KiB

What operators would see: callers choose the ids and paths in log lines, with heads of up to 1 MiB; 2,000 lines wait for a slow reader of the log. Lines were bounded in number and rate, not in length.

Change: of a longer line 2 KiB are kept, in valid JSON with its level, process, time, message and size. At most 16 MiB wait.

Measured: TestLongLineIsShortened fails before.

--- a/logs/bounded.go
+++ b/logs/bounded.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -17,6 +18,10 @@
 	maxLinesPerSecond     = 500
 	maxInfoLinesPerSecond = 300
 	flushTimeout          = 200 * time.Millisecond
+	// maxLineBytes bounds a line, as callers choose the paths and ids in it. Of a longer one
+	// keptLineBytes are kept.
+	maxLineBytes  = 8 << 10
+	keptLineBytes = 2 << 10
 )
 
 // infoLevel is the level field of an info line as zerolog writes it.
@@ -90,13 +95,40 @@
 	}
 	b.linesThisSecond++
 	select {
-	case b.lines <- append([]byte(nil), line...):
+	case b.lines <- shortened(line):
 	default:
 		b.drop()
 	}
 	return len(line), nil
 }
 
+// longLine takes the place of a line that is too long.
+type longLine struct {
+	Level   string `json:"level,omitempty"`
+	Process string `json:"process,omitempty"`
+	Zone    string `json:"zone,omitempty"`
+	Time    string `json:"time,omitempty"`
+	Message string `json:"message,omitempty"`
+	Bytes   int    `json:"lineBytes"` // of the whole line
+	Start   string `json:"lineStart"`
+}
+
+// shortened returns a copy of a line, with at most maxLineBytes.
+func shortened(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	var l longLine
+	_ = json.Unmarshal(line, &l) // what is no JSON has no fields
+	l.Message = l.Message[:min(len(l.Message), keptLineBytes)]
+	l.Bytes, l.Start = len(line), string(line[:keptLineBytes])
+	b, err := json.Marshal(l)
+	if err != nil {
+		return nil
+	}
+	return append(b, '\n')
+}
+
 func (b *boundedWriter) drop() {
 	b.dropped.Add(1)
 	b.onDrop()
--- a/logs/bounded_test.go
+++ b/logs/bounded_test.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -78,3 +79,25 @@
 	assert.Positive(t, dropped.Load())
 	fmt.Fprintln(out, "after the end") // dropped, not a panic
 }
+
+// Guards against callers whose long paths or ids fill the log, or the queue before it.
+func TestLongLineIsShortened(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	close(w.release)
+	out, flush := Bounded(w, nil)
+	long := fmt.Sprintf(`{"level":"warn","process":"front-1","path":%q,"message":"front: request rejected"}`+"\n", strings.Repeat("x", 100_000))
+	for _, line := range []string{long, "no JSON " + long, strings.ReplaceAll(long, "front:", strings.Repeat("y", 100_000))} {
+		n, err := out.Write([]byte(line))
+		require.NoError(t, err)
+		assert.Equal(t, len(line), n)
+	}
+	flush()
+	lines := strings.Split(strings.TrimSpace(w.b.String()), "\n")
+	require.Len(t, lines, 3)
+	for _, line := range lines {
+		assert.LessOrEqual(t, len(line), maxLineBytes)
+		assert.True(t, json.Valid([]byte(line)), "%s", line)
+	}
+	assert.Contains(t, lines[0], `"level":"warn"`)
+	assert.Contains(t, lines[0], `"message":"front: request rejected"`)
+}
