soak, cmd: crowds of clients in the soak's plans, and as a tool

Each plan has two crowds of a drawn kind at an instance, drawn from a source of their own so that the other faults of a seed stay as they were. No request of a crowd is run: they stop short of their end, or have no route. `ragworthitch crowd` sends one kind to a server on loopback.

--- a/cmd/ragworthitch/main.go
+++ b/cmd/ragworthitch/main.go
@@ -33,6 +33,7 @@
 	subcommands.Register(&soakCmd{}, "tools")
 	subcommands.Register(&rolloutCmd{}, "tools")
 	subcommands.Register(&rehearseCmd{}, "tools")
+	subcommands.Register(&crowdCmd{}, "tools")
 	subcommands.Register(&soakStoreCmd{}, "processes of a soak test")
 	subcommands.Register(&soakTargetCmd{}, "processes of a soak test")
 	flag.Parse()
--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -40,7 +40,10 @@
 		Kind        Kind
 		Clients     int
 		Connections int // that each client opens, as the server closes them; 0: defaultConnections
-		Server      Server
+		// Unfinished means that no client finishes a request, so that none is run. It has no
+		// effect on SentAhead and SlowReaders.
+		Unfinished bool
+		Server     Server
 	}
 
 	// Server is what a crowd is sent to, and what the server allows.
@@ -75,7 +78,9 @@
 		kind   Kind
 		server Server
 		index  int
-		settle func()
+		// finishes is set if the client finishes its requests.
+		finishes bool
+		settle   func()
 	}
 )
 
@@ -99,7 +104,7 @@
 	})
 	for i := range c.Clients {
 		r.settled.Add(1)
-		cl := &client{run: r, kind: c.Kind, server: c.Server, index: i, settle: sync.OnceFunc(r.settled.Done)}
+		cl := &client{run: r, kind: c.Kind, server: c.Server, index: i, finishes: !c.Unfinished && i%finishingShare == 0, settle: sync.OnceFunc(r.settled.Done)}
 		r.clients.Go(func() { cl.connectRepeatedly(ctx, connections) })
 	}
 	return r, nil
--- a/crowd/kinds.go
+++ b/crowd/kinds.go
@@ -173,7 +173,7 @@
 		spare -= len(name) + len(": \r\n")
 	}
 	head := c.head(fields)
-	if c.index%finishingShare != 0 {
+	if !c.finishes {
 		head = head[:len(head)-2*len("\r\n")]
 	}
 	if _, err := (stallWriter{conn}).Write(head); err != nil && !isTimeout(err) {
@@ -200,7 +200,7 @@
 		req := c.newRequest(length)
 		w := bufio.NewWriterSize(stallWriter{conn}, pieceBuffer)
 		req.Body = io.NopCloser(&bodySource{text: c.server.Body, size: size, piece: p.pieceBytes, pause: p.pause, flush: w.Flush, settle: c.settle, ctx: ctx,
-			stop: p.times == 0 && c.index%finishingShare != 0})
+			stop: p.times == 0 && !c.finishes})
 		answered := make(chan struct{})
 		go func() {
 			defer close(answered)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -150,7 +150,7 @@
 
 // startCrowd starts a crowd at a door of the deployment.
 func (x *deployment) startCrowd(d door, kind Kind, clients, connections int) *Run {
-	server := Server{Addr: x.addr(d.Port), Host: callHost, Method: d.Method, Path: d.Path, Header: x.header, IDHeader: "Ragworthitch-Request-Id",
+	server := Server{Addr: x.addr(d.Port), Host: callHost, Method: d.Method, Path: d.Path, Header: x.header, IDHeader: platform.RequestIDHeader,
 		HeadBytes: x.plan.HeadBytes, BodyBytes: x.plan.BodyBytes, Body: d.Body}
 	if d.Process != "serve" {
 		server.IDHeader = "X-Request-Id"
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -99,7 +99,7 @@
 // peers.
 func (x *execution) settingsOf(e *entry, n int) platform.Settings {
 	return platform.NewSettings(platform.SettingsParams{Node: e.name, Zone: x.size.zoneOf(n), CallerAddr: e.callerAddr, ReadinessAddr: e.readyAddr, Internal: e.internalAddr,
-		Store: x.size.entryLinkHost(n) + portSuffix(e.storeAddr), Memory: memoryLimitMB << 20,
+		Store: x.size.entryLinkHost(n) + portSuffix(e.storeAddr), Memory: memoryLimitMB << 20, Descriptors: maxOpenFiles,
 		Bounds: platform.Bounds{Config: configDelay, Drain: drainPeriod, CanaryShare: canaryShare, Revoke: revokeDelay, Grace: gracePeriod, BudgetRatio: x.plan.Deployment.budgetRatio(), BudgetWindow: retryBudgetWindow, BudgetExtra: x.plan.Deployment.budgetExtra()}})
 }
 
@@ -131,7 +131,7 @@
 			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceLLM, HealthPath: platform.HealthPath, MaxConns: 400,
 				Engine: &ragworthitch.Engine{Slots: targetSlots, KVTokens: 55000, CanMigrate: true, CanReplicate: true, TokensPerEvent: 1, ReplicaExpiry: replicaExpiry}}),
 			ragworthitch.NewService(ragworthitch.ServiceParams{Name: serviceApp, HealthPath: platform.HealthPath, MaxConns: 400})},
-		Limits: ragworthitch.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}})
+		Limits: ragworthitch.Limits{HeaderBytes: headLimit, BodyBytes: bodyLimit, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second}})
 	if err != nil {
 		return nil, err
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -53,6 +53,8 @@
 	case KindGather:
 		x.gather(ctx, f)
 		return nil
+	case KindCrowd:
+		return x.sendCrowd(ctx, f)
 	case KindStoreDown, KindStoreSlow, KindStoreLoseAcks:
 		return x.injectStoreFault(ctx, f)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -12,6 +12,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/ragworthitch/ragworthitch/crowd"
 	"github.com/ragworthitch/ragworthitch/loopback"
 	"github.com/ragworthitch/ragworthitch/platform"
 )
@@ -68,6 +69,10 @@
 	// KindNoKeys removes all organisations, until the next version.
 	KindNoKeys = "noKeys"
 
+	// KindCrowd sends a crowd of clients to an instance that never finish their requests, or
+	// do not read the answers.
+	KindCrowd = "crowd"
+
 	// KindSlow leaves an instance little processor time: it is stopped and continued in
 	// turn.
 	KindSlow = "slow"
@@ -127,6 +132,8 @@
 
 		BackoffMs int `yaml:"backoffMs,omitempty"` // of KindBackoff
 
+		Clients crowd.Kind `yaml:"clients,omitempty"` // of KindCrowd
+
 		// Moment of an answer at which a poison request crashes its target; empty: after the
 		// head of a stream.
 		Moment platform.CrashMoment `yaml:"moment,omitempty"`
@@ -174,7 +181,7 @@
 const sizeHandover = "handover"
 
 // alwaysDrawn are the kinds that every plan has.
-var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather, KindEndless, KindBackoff, KindDraining, KindNoKeys}
+var alwaysDrawn = []string{KindChange, KindPoison, KindPoisonPart, KindRateLimit, KindUndelimited, KindGather, KindEndless, KindBackoff, KindDraining, KindNoKeys, KindCrowd}
 
 var kindChoices = []kindChoice{
 	{KindDelay, 3, (*planDrawer).drawLink}, {KindReset, 4, (*planDrawer).drawLink}, {KindBlockRequests, 3, (*planDrawer).drawLink},
@@ -222,6 +229,7 @@
 	p.Faults = append(p.Faults, d.drawBackoffs(end)...)
 	p.Faults = append(p.Faults, d.drawDraining(end)...)
 	p.Faults = append(p.Faults, Fault{Kind: KindNoKeys, AtMs: int(noKeysFrom.Milliseconds()), ForMs: int(noKeysFor.Milliseconds())})
+	p.Faults = append(p.Faults, drawCrowds(rand.New(rand.NewPCG(seed, 3)), s, end)...)
 	if size == sizeFew {
 		p.drawSettings(rand.New(rand.NewPCG(seed, 2)))
 	}
@@ -407,6 +415,9 @@
 	if f.BackoffMs > 0 {
 		fmt.Fprintf(&b, ", asks for %d ms", f.BackoffMs)
 	}
+	if f.Clients != "" {
+		fmt.Fprintf(&b, ", %s", f.Clients)
+	}
 	if f.Moment != "" {
 		fmt.Fprintf(&b, ", at %s", f.Moment)
 	}
