--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -132,8 +132,8 @@
 		// Shares tracks the usage of organisations at all instances; nil: a tracker of this
 		// handler's own.
 		Shares *fairshare.Tracker
-		// AnswerMemory limits the parts of answers that callers have not accepted yet;
-		// nil: no limit.
+		// AnswerMemory is the memory that clients may take; the parts of answers that they
+		// have not accepted yet count towards it. Nil: no limit.
 		AnswerMemory *admit.Memory
 		// ClaimProbes claims the probes of one call, whose request or parts are quarantined,
 		// and reports whether this instance got them; nil: claims them in PoisonTracker only.
--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -56,6 +56,9 @@
     "each instance takes the whole rate limit": ("LIMIT", "ratelimit/group.go", "	if g.List == nil {\n		return 1, false", "	if g != nil {\n		return 1, false"),
     "heads have no bounds": ("ENDLESS", "upstream/limits.go", "	if g.left <= 0 {", "	if g == nil {", "upstream/limits.go", "	return min(n, g.left), nil", "	return n, nil",
         "upstream/limits.go", "g.informational > maxInformational {", "g == nil {"),
+    "clients take memory without a bound": ("USAGE", "downstream/downstream.go", "memory: admit.NewMemory(memory)", "memory: admit.NewMemory(0)",
+        "downstream/conn.go", "; max > 0 && size > max+headSlack {", "; max > 0 && size < 0 {", "downstream/handler.go", "; max > 0 && size > max {", "; max > 0 && size < 0 {"),
+    "closed connections keep their memory": ("BACK", "downstream/conn.go", "		c.l.guard.memory.Free(c.state.held)\n		c.state.held = 0\n", "		c.state.held = 0\n"),
     "a panic ends the process": ("ALIVE", "health/health.go", "	if s.nextFailure != nil {\n		close(s.nextFailure)\n		s.nextFailure = nil\n	}\n", "	panic(s)\n"),
 }
 
@@ -69,6 +72,8 @@
     "streams go round rate limits": "testdata/soak/rate-limits.yaml",
     "each instance takes the whole rate limit": "testdata/soak/rate-limits.yaml",
     "heads have no bounds": "testdata/soak/endless.yaml",
+    "clients take memory without a bound": "testdata/soak/crowds.yaml",
+    "closed connections keep their memory": "testdata/soak/crowds.yaml",
 }
 # Sizes of the bugs that are not detected with the usual one.
 SIZES = {"a stream's former target is not told to stop": "handover", "a stream's former target is told to stop late": "handover", "the connection of a former attempt is closed late": "handover",
