poison: a run that clears a crash which no peer knows is not reported to peers

But the next run of the request, or of any prompt with the part, clears the crash, and that was news: the sound run was logged for peers and sent to all of them at once, and each passed it on as a run that it had not heard of.

Change: a run that clears only a crash that no peer knows is no news. Such a suspect has one crash with weak evidence and decides nothing, so no verdict is evaluated either.

Measured: TestRunAfterUnreportedCrashIsNoNews fails before. Packages poison and ingress pass.

--- a/poison/sound.go
+++ b/poison/sound.go
@@ -98,8 +98,8 @@
 	return anyNew
 }
 
-// applySoundRuns removes the crashes before sound runs, and reports whether there were any;
-// t.mu is held.
+// applySoundRuns removes the crashes before sound runs, and reports whether there were any that
+// other instances know; t.mu is held.
 func (t *Tracker) applySoundRuns(runs []SoundRun, source Source, now clock.Time) bool {
 	anyCleared := false
 	for _, run := range runs {
@@ -108,7 +108,10 @@
 		if s == nil {
 			continue
 		}
-		if cleared := t.clearCrashes(s, run, source, now); len(cleared) > 0 {
+		// A crash that no peer knows is a single one with weak evidence, which has no part in
+		// verdicts.
+		isKnown := source == SourcePeer || len(s.unreported) == 0
+		if cleared := t.clearCrashes(s, run, source, now); len(cleared) > 0 && isKnown {
 			anyCleared = true
 			run.Boots = union(run.Boots, cleared)
 			t.logSoundRuns([]SoundRun{run}, now)
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -283,3 +283,23 @@
 		})
 	}
 }
+
+// Guards against a report to all peers for each stream that goes on elsewhere: its run clears a
+// crash that no peer knows.
+func TestRunAfterUnreportedCrashIsNoNews(t *testing.T) {
+	tracker, now := &Tracker{}, clock.Time(time.Hour)
+	r := Request{Fingerprint: fingerprintOf("a1"), Org: "a", Service: "llm", Parts: Parts([]string{"common"})}
+	weak := Crash{Boot: ragworthitch.NewBoot("i-1", 1), Call: "c1", Version: "v1", Phase: Late, Ran: time.Second}
+	assert.False(t, tracker.RecordOwnCrash(r, weak, now), "a single crash with weak evidence")
+	now = now.Add(time.Second)
+	assert.False(t, tracker.RecordSuccess(r, "v1", ToEnd, now))
+	assert.False(t, tracker.RecordSoundRun(r, "v1", ToEnd, now))
+	runs, _ := tracker.SoundRunsSince(0, now)
+	assert.Empty(t, runs)
+	crashes, _ := tracker.CrashesSince(0, now)
+	assert.Empty(t, crashes)
+
+	strong := Crash{Boot: ragworthitch.NewBoot("i-2", 1), Call: "c2", Version: "v1", Phase: Begun}
+	assert.True(t, tracker.RecordOwnCrash(r, strong, now))
+	assert.True(t, tracker.RecordSuccess(r, "v1", ToEnd, now.Add(time.Second)), "peers know the crash")
+}
