instance, downstream: room for the connections between many instances; names of counters

An instance that reads the store for its zone has three connections for each other instance there: 600 in a zone of 200, where 0.15 of 4,100 descriptors are 615. Now 0.2 of them. Counters of closed connections are named connections_closed_BOUND_LISTENER. The tests' plan of crowds is decoded into types of its own; crowd and bounds are unchanged.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -39,17 +39,33 @@
 type (
 	// plan is testdata/doors.yaml.
 	plan struct {
-		Limits    struct{ MemoryMB, Descriptors int }
-		Clients   int
-		HeadBytes int
-		BodyBytes int
-		Doors     []door
+		Limits    limits `yaml:"limits"`
+		Clients   int    `yaml:"clients"`
+		HeadBytes int    `yaml:"headBytes"`
+		BodyBytes int    `yaml:"bodyBytes"`
+		Doors     []door `yaml:"doors"`
+	}
+
+	// limits are what the settings allow each process.
+	limits struct {
+		MemoryMB    int `yaml:"memoryMB"`
+		Descriptors int `yaml:"descriptors"`
 	}
 
 	// door is a place at which clients reach a process.
 	door struct {
-		Name, Process, Port, Method, Path string
-		Body                              Text
+		Name    string   `yaml:"name"`
+		Process string   `yaml:"process"`
+		Port    string   `yaml:"port"`
+		Method  string   `yaml:"method"`
+		Path    string   `yaml:"path"`
+		Body    bodyText `yaml:"body"`
+	}
+
+	// bodyText is how the bodies at a door begin and end.
+	bodyText struct {
+		Start string `yaml:"start"`
+		End   string `yaml:"end"`
 	}
 
 	// deployment is a deployment of real processes, one of which is tested.
@@ -95,32 +111,9 @@
 	t.Helper()
 	b, err := os.ReadFile("testdata/doors.yaml")
 	require.NoError(t, err)
-	var p struct {
-		Limits struct {
-			MemoryMB    int `yaml:"memoryMB"`
-			Descriptors int `yaml:"descriptors"`
-		} `yaml:"limits"`
-		Clients   int `yaml:"clients"`
-		HeadBytes int `yaml:"headBytes"`
-		BodyBytes int `yaml:"bodyBytes"`
-		Doors     []struct {
-			Name    string `yaml:"name"`
-			Process string `yaml:"process"`
-			Port    string `yaml:"port"`
-			Method  string `yaml:"method"`
-			Path    string `yaml:"path"`
-			Body    struct {
-				Start string `yaml:"start"`
-				End   string `yaml:"end"`
-			} `yaml:"body"`
-		} `yaml:"doors"`
-	}
+	var p plan
 	require.NoError(t, yaml.Unmarshal(b, &p))
-	out := plan{Limits: struct{ MemoryMB, Descriptors int }(p.Limits), Clients: p.Clients, HeadBytes: p.HeadBytes, BodyBytes: p.BodyBytes}
-	for _, d := range p.Doors {
-		out.Doors = append(out.Doors, door{Name: d.Name, Process: d.Process, Port: d.Port, Method: d.Method, Path: d.Path, Body: Text(d.Body)})
-	}
-	return out
+	return p
 }
 
 // Guards against clients that end a process, make it hold more memory or descriptors than it
@@ -151,7 +144,7 @@
 // startCrowd starts a crowd at a door of the deployment.
 func (x *deployment) startCrowd(d door, kind Kind, clients, connections int) *Run {
 	server := Server{Addr: x.addr(d.Port), Host: callHost, Method: d.Method, Path: d.Path, Header: x.header, IDHeader: platform.RequestIDHeader,
-		HeadBytes: x.plan.HeadBytes, BodyBytes: x.plan.BodyBytes, Body: d.Body}
+		HeadBytes: x.plan.HeadBytes, BodyBytes: x.plan.BodyBytes, Body: Text(d.Body)}
 	if d.Process != "serve" {
 		server.IDHeader = "X-Request-Id"
 	}
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -158,7 +158,7 @@
 }
 
 // countClosed counts a connection that is closed because a bound was met.
-func (l *Listener) countClosed(b bound) { l.counter(string(b)).Inc(1) }
+func (l *Listener) countClosed(b bound) { l.counter("closed_" + string(b)).Inc(1) }
 
 // refuse counts and logs a connection that is refused.
 func (l *Listener) refuse(b bound) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -63,7 +63,7 @@
 	// instances and of the load balancer's readiness checks may take. The rest is for
 	// connections to targets, to the store and to other instances, and for files.
 	callerConnFraction    = 0.35
-	internalConnFraction  = 0.15
+	internalConnFraction  = 0.2
 	readinessConnFraction = 0.02
 	minConns              = 8
 
