--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -130,7 +130,7 @@
 	extra := headCost(s.headBytes, s.headLines) - before
 	size := s.headBytes
 	s.mu.Unlock()
-	if max := c.l.cfg.Limits().HeaderBytes; max > 0 && size > max+headSlack {
+	if limit := c.l.cfg.Limits().HeaderBytes; limit > 0 && size > limit+headSlack {
 		c.l.countClosed(boundHead)
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
--- a/downstream/handler.go
+++ b/downstream/handler.go
@@ -53,7 +53,7 @@
 func (l *Listener) beginCall(c *conn, r *http.Request) (status int) {
 	size, fields := headSize(r)
 	held := c.beginCall(size, fields)
-	if max := l.cfg.Limits().HeaderBytes; max > 0 && size > max {
+	if limit := l.cfg.Limits().HeaderBytes; limit > 0 && size > limit {
 		l.countClosed(boundHead)
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -57,7 +57,7 @@
     "heads have no bounds": ("ENDLESS", "upstream/limits.go", "	if g.left <= 0 {", "	if g == nil {", "upstream/limits.go", "	return min(n, g.left), nil", "	return n, nil",
         "upstream/limits.go", "g.informational > maxInformational {", "g == nil {"),
     "clients take memory without a bound": ("USAGE", "downstream/downstream.go", "memory: admit.NewMemory(memory)", "memory: admit.NewMemory(0)",
-        "downstream/conn.go", "; max > 0 && size > max+headSlack {", "; max > 0 && size < 0 {", "downstream/handler.go", "; max > 0 && size > max {", "; max > 0 && size < 0 {"),
+        "downstream/conn.go", "; limit > 0 && size > limit+headSlack {", "; limit > 0 && size < 0 {", "downstream/handler.go", "; limit > 0 && size > limit {", "; limit > 0 && size < 0 {"),
     "closed connections keep their memory": ("BACK", "downstream/conn.go", "		c.l.guard.memory.Free(c.state.held)\n		c.state.held = 0\n", "		c.state.held = 0\n"),
     "a panic ends the process": ("ALIVE", "health/health.go", "	if s.nextFailure != nil {\n		close(s.nextFailure)\n		s.nextFailure = nil\n	}\n", "	panic(s)\n"),
 }
