admit, entry: a request that never fits the memory closes no connection and drops no stream

What callers saw: one generation that needs more than all client memory (its prompt and the tokens it may get) made an entry instance close every connection that it waited for, forget all finished streams, and then answer 503 all the same.

Cause: memory was looked for without asking whether it could be enough.

Change: Memory.CanHold is asked first.

--- a/admit/memory.go
+++ b/admit/memory.go
@@ -36,7 +36,7 @@
 // NewMemory returns a Memory with a limit in bytes.
 func NewMemory(limit int64) *Memory { return &Memory{limit: limit} }
 
-// Limit returns the limit in bytes; 0: none.
+// Limit returns the limit in bytes; 0: no limit.
 func (m *Memory) Limit() int64 { return m.limit }
 
 // Used returns the number of bytes taken.
@@ -79,12 +79,15 @@
 	return true
 }
 
+// CanHold reports whether n bytes fit the limit if nothing else is taken.
+func (m *Memory) CanHold(n int) bool { return m.limit <= 0 || int64(n) <= m.limit }
+
 // awaitReclaim tries to get n bytes, and again while memory is being freed.
 func (m *Memory) awaitReclaim(n int, timeout time.Duration, try func() bool) bool {
 	if try() {
 		return true
 	}
-	if m.Reclaim == nil {
+	if m.Reclaim == nil || !m.CanHold(n) {
 		return false
 	}
 	for end := time.Now().Add(timeout); m.Reclaim(n) && time.Now().Before(end); {
--- a/admit/memory_test.go
+++ b/admit/memory_test.go
@@ -61,3 +61,15 @@
 	m.Free(len(first) + len(second) + len(small))
 	assert.Zero(t, m.Used())
 }
+
+// Guards against connections that are closed for a request which could never fit.
+func TestNothingIsReclaimedForTooMuch(t *testing.T) {
+	m := NewMemory(10)
+	m.Reclaim = func(n int) bool {
+		assert.Fail(t, "reclaimed", "%d bytes", n)
+		return false
+	}
+	assert.False(t, m.TryReserve(11))
+	assert.False(t, m.Fits(11))
+	assert.True(t, m.TryReserve(10))
+}
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -75,8 +75,9 @@
 // it.
 func (s *Stream) reserve() bool {
 	s.memory = streamBytes + len(s.req.ID()) + promptCopies*len(s.prompt) + tokenBytes*s.req.MaxTokens()
-	for !s.e.clients.Memory().TryReserve(s.memory) {
-		if !s.e.dropOldest(s.e.finished.newest()) {
+	memory := s.e.clients.Memory()
+	for !memory.TryReserve(s.memory) {
+		if !memory.CanHold(s.memory) || !s.e.dropOldest(s.e.finished.newest()) {
 			return false
 		}
 	}
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -136,6 +136,8 @@
 		assertChain(t, toks, 5)
 		assert.LessOrEqual(t, e.Clients().Memory().Used(), cfg.Limits.ClientMemory())
 	}
+	held := e.Clients().Memory().Used()
 	_, err = e.Generate(ctx, longRequest("large", 5), strings.Repeat("p", 200_000))
 	assert.ErrorIs(t, err, entry.ErrNoMemory)
+	assert.Equal(t, held, e.Clients().Memory().Used(), "finished streams are dropped for one that never fits")
 }
