cmd: the logs of entry instances and agents are bounded and wait for nobody

What clients saw: requests to an agent that are no WebSocket handshake leave a log line each. While nobody reads the process's log, such a request never ends; some hundreds of them take all connections that the agent may have, and entry instances that start then reach it no more.

Cause: only serve wrote its log through logs.Bounded; entry and agent wrote to stderr in the goroutine of a request, without a bound on lines.

Change: entry and agent use logs.Bounded, and net/http's own lines go the same way.

--- a/cmd/ragworthitch/agent.go
+++ b/cmd/ragworthitch/agent.go
@@ -20,10 +20,16 @@
 func (c *agentCmd) SetFlags(f *flag.FlagSet) { c.register(f) }
 
 func (c *agentCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cfg, t, log, err := c.loadTarget("", "agent-")
+	cfg, err := c.loadSettings()
 	if err != nil {
 		return fail(err)
 	}
+	t, err := cfg.Target(c.name)
+	if err != nil {
+		return fail(err)
+	}
+	log, flush := newBoundedLogger(cfg, "agent-"+t.Name, t.Zone)
+	defer flush()
 	debug.SetMemoryLimit(cfg.Limits.HeapBytes())
 	a, err := agent.New(cfg, t.Name, log)
 	if err != nil {
--- a/cmd/ragworthitch/common.go
+++ b/cmd/ragworthitch/common.go
@@ -5,6 +5,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -35,8 +36,8 @@
 }
 
 // loadTarget returns the settings, this process's target and a logger. The target
-// has to be of the given kind; an empty kind accepts any.
-func (p *processFlags) loadTarget(kind, namePrefix string) (*settings.File, settings.Target, zerolog.Logger, error) {
+// has to be of the given kind.
+func (p *processFlags) loadTarget(kind string) (*settings.File, settings.Target, zerolog.Logger, error) {
 	cfg, err := p.loadSettings()
 	if err != nil {
 		return nil, settings.Target{}, zerolog.Logger{}, err
@@ -45,16 +46,27 @@
 	if err != nil {
 		return nil, settings.Target{}, zerolog.Logger{}, err
 	}
-	if kind != "" && t.Kind != kind {
+	if t.Kind != kind {
 		return nil, settings.Target{}, zerolog.Logger{}, fmt.Errorf("target %s is a %s, not a %s", t.Name, t.Kind, kind)
 	}
-	return cfg, t, newLogger(cfg, namePrefix+t.Name, t.Zone), nil
+	return cfg, t, newLogger(cfg, t.Name, t.Zone), nil
 }
 
 func newLogger(cfg *settings.File, name, zone string) zerolog.Logger {
 	return logs.New(os.Stderr, name, zone, cfg.Log.Level)
 }
 
+// newBoundedLogger returns a logger for a process that serves clients: its lines are bounded in
+// number and length, and never wait for a reader. flush writes the last ones.
+func newBoundedLogger(cfg *settings.File, name, zone string) (log zerolog.Logger, flush func()) {
+	out, flush := logs.Bounded(os.Stderr, nil)
+	log = logs.New(out, name, zone, cfg.Log.Level)
+	// net/http writes connection errors to the standard logger.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.With().Str("level", "info").Logger())
+	return log, flush
+}
+
 // fail prints err and returns the exit status of a failure.
 func fail(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "ragworthitch:", err)
--- a/cmd/ragworthitch/engine.go
+++ b/cmd/ragworthitch/engine.go
@@ -20,7 +20,7 @@
 func (c *engineCmd) SetFlags(f *flag.FlagSet) { c.register(f) }
 
 func (c *engineCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	cfg, t, log, err := c.loadTarget(settings.KindEngine, "")
+	cfg, t, log, err := c.loadTarget(settings.KindEngine)
 	if err != nil {
 		return fail(err)
 	}
--- a/cmd/ragworthitch/entry.go
+++ b/cmd/ragworthitch/entry.go
@@ -30,7 +30,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	log := newLogger(cfg, self.Name, self.Zone)
+	log, flush := newBoundedLogger(cfg, self.Name, self.Zone)
+	defer flush()
 	scope, reporter, closeScope := metrics.New(self.Name)
 	defer closeScope()
 	debug.SetMemoryLimit(cfg.Limits.HeapBytes())
--- a/cmd/ragworthitch/service.go
+++ b/cmd/ragworthitch/service.go
@@ -21,7 +21,7 @@
 func (c *serviceCmd) SetFlags(f *flag.FlagSet) { c.register(f) }
 
 func (c *serviceCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	_, t, log, err := c.loadTarget(settings.KindService, "")
+	_, t, log, err := c.loadTarget(settings.KindService)
 	if err != nil {
 		return fail(err)
 	}
