downstream, instance, crowd: what a second reading found in names, log lines and comments

Cause: read as a newcomer. Two shares of the memory stood in instance and settings alike; a listener was "front" in one process and "callers" in the other; a client that got 431 or 408 left a counter and no line, and no line said which client it was; a line's field "closed" counted refusals, too; heads of comments that had to be solved (a reset, the size of a first line, Crowd's defaults); tests called an endpoint a door; `crowd -path` with a bad path ended in a panic.

Change: downstream.MemoryShare and HeapShare; listeners are callers, readiness, instances, entries; a line for each bound that a client met (one a second and listener, with the client's address), but for idle connections; names and comments. The tests' endpoints are decoded strictly; crowd, bounds and assertions are as they were.

--- a/cmd/ragworthitch/entry.go
+++ b/cmd/ragworthitch/entry.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	if err := serveClients(ctx, log, "entry", self.Listen, e.Clients(), handlers.Listener(cfg), handlers.New(e, reporter), e.Run); err != nil {
+	if err := serveClients(ctx, log, "entry", self.Listen, e.Clients(), handlers.ListenerConfig(cfg), handlers.New(e, reporter), e.Run); err != nil {
 		return fail(err)
 	}
 	log.Info().Msg("entry: stopped")
--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -34,8 +34,7 @@
 var ErrNotLoopback = errors.New("crowd: server is not at a loopback address")
 
 type (
-	// Crowd is a number of clients of one kind. The zero value of each limit is replaced by a
-	// default.
+	// Crowd is a number of clients of one kind.
 	Crowd struct {
 		Kind        Kind
 		Clients     int
@@ -92,6 +91,9 @@
 	if kinds[c.Kind] == nil {
 		return nil, fmt.Errorf("crowd: unknown kind %q", c.Kind)
 	}
+	if _, err := c.Server.newRequest(); err != nil {
+		return nil, fmt.Errorf("crowd: %w", err)
+	}
 	connections := c.Connections
 	if connections == 0 {
 		connections = defaultConnections
@@ -166,22 +168,31 @@
 	return nil
 }
 
-// newRequest returns a request with a body of the given length; -1: in chunks.
-func (c *client) newRequest(length int64) *http.Request {
-	method := c.server.Method
+// newRequest returns a request without a body.
+func (s Server) newRequest() (*http.Request, error) {
+	method := s.Method
 	if method == "" {
 		method = http.MethodPost
 	}
-	req, err := http.NewRequest(method, "http://"+c.server.Addr+c.server.Path, nil)
+	req, err := http.NewRequest(method, "http://"+s.Addr+s.Path, nil)
 	if err != nil {
-		panic(err) // the server's address and path are the user's, and wrong
+		return nil, err
 	}
-	if c.server.Host != "" {
-		req.Host = c.server.Host
+	if s.Host != "" {
+		req.Host = s.Host
 	}
-	for k, v := range c.server.Header {
+	for k, v := range s.Header {
 		req.Header[k] = v
 	}
+	return req, nil
+}
+
+// newRequest returns a request with a body of the given length; -1: in chunks.
+func (c *client) newRequest(length int64) *http.Request {
+	req, err := c.server.newRequest()
+	if err != nil {
+		panic(err) // Start has made the same request
+	}
 	if c.server.IDHeader != "" {
 		req.Header.Set(c.server.IDHeader, fmt.Sprintf("crowd-%d-%d", c.index, c.run.serial.Add(1)))
 	}
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ragworthitch/ragworthitch"
+	"github.com/ragworthitch/ragworthitch/handlers"
 	"github.com/ragworthitch/ragworthitch/loopback"
 	"github.com/ragworthitch/ragworthitch/platform"
 	"github.com/ragworthitch/ragworthitch/process"
@@ -37,13 +38,13 @@
 )
 
 type (
-	// plan is testdata/doors.yaml.
+	// plan is testdata/endpoints.yaml.
 	plan struct {
-		Limits    limits `yaml:"limits"`
-		Clients   int    `yaml:"clients"`
-		HeadBytes int    `yaml:"headBytes"`
-		BodyBytes int    `yaml:"bodyBytes"`
-		Doors     []door `yaml:"doors"`
+		Limits    limits     `yaml:"limits"`
+		Clients   int        `yaml:"clients"`
+		HeadBytes int        `yaml:"headBytes"`
+		BodyBytes int        `yaml:"bodyBytes"`
+		Endpoints []endpoint `yaml:"endpoints"`
 	}
 
 	// limits are what the settings allow each process.
@@ -52,8 +53,8 @@
 		Descriptors int `yaml:"descriptors"`
 	}
 
-	// door is a place at which clients reach a process.
-	door struct {
+	// endpoint is a place at which clients reach a process.
+	endpoint struct {
 		Name    string   `yaml:"name"`
 		Process string   `yaml:"process"`
 		Port    string   `yaml:"port"`
@@ -62,7 +63,7 @@
 		Body    bodyText `yaml:"body"`
 	}
 
-	// bodyText is how the bodies at a door begin and end.
+	// bodyText is how the bodies at a endpoint begin and end.
 	bodyText struct {
 		Start string `yaml:"start"`
 		End   string `yaml:"end"`
@@ -109,10 +110,10 @@
 
 func loadPlan(t *testing.T) plan {
 	t.Helper()
-	b, err := os.ReadFile("testdata/doors.yaml")
+	b, err := os.ReadFile("testdata/endpoints.yaml")
 	require.NoError(t, err)
 	var p plan
-	require.NoError(t, yaml.Unmarshal(b, &p))
+	require.NoError(t, yaml.UnmarshalWithOptions(b, &p, yaml.Strict()))
 	return p
 }
 
@@ -120,14 +121,14 @@
 // may, or keep it from serving ordinary callers.
 func TestProcessBearsCrowd(t *testing.T) {
 	p := loadPlan(t)
-	for _, d := range p.Doors {
+	for _, d := range p.Endpoints {
 		for _, kind := range Kinds() {
 			t.Run(fmt.Sprintf("%s/%s", d.Name, kind), func(t *testing.T) { bearsCrowd(t, p, d, kind) })
 		}
 	}
 }
 
-func bearsCrowd(t *testing.T, p plan, d door, kind Kind) {
+func bearsCrowd(t *testing.T, p plan, d endpoint, kind Kind) {
 	x := startDeployment(t, p, d.Process)
 	x.requireAnswers(d, "before the crowd comes")
 	watch := x.watch()
@@ -141,12 +142,12 @@
 	watch.requireBounds()
 }
 
-// startCrowd starts a crowd at a door of the deployment.
-func (x *deployment) startCrowd(d door, kind Kind, clients, connections int) *Run {
+// startCrowd starts a crowd at a endpoint of the deployment.
+func (x *deployment) startCrowd(d endpoint, kind Kind, clients, connections int) *Run {
 	server := Server{Addr: x.addr(d.Port), Host: callHost, Method: d.Method, Path: d.Path, Header: x.header, IDHeader: platform.RequestIDHeader,
 		HeadBytes: x.plan.HeadBytes, BodyBytes: x.plan.BodyBytes, Body: Text(d.Body)}
 	if d.Process != "serve" {
-		server.IDHeader = "X-Request-Id"
+		server.IDHeader = handlers.HeaderRequestID
 	}
 	run, err := Crowd{Kind: kind, Clients: clients, Connections: connections, Server: server}.Start(x.t.Context())
 	require.NoError(x.t, err)
@@ -185,8 +186,8 @@
 }
 
 // requireAnswers requires that an ordinary call is answered, and an ordinary request at the
-// crowd's door if it is not one for calls.
-func (x *deployment) requireAnswers(d door, when string) {
+// crowd's endpoint if it is not one for calls.
+func (x *deployment) requireAnswers(d endpoint, when string) {
 	x.t.Helper()
 	x.requireAnswer(x.send, when)
 	if d.Method == http.MethodGet && d.Port != "agent" {
@@ -372,7 +373,7 @@
 		if err != nil {
 			return nil, err
 		}
-		req.Header.Set("X-Request-Id", id)
+		req.Header.Set(handlers.HeaderRequestID, id)
 		return req, nil
 	}
 }
--- a/crowd/scenario_test.go
+++ b/crowd/scenario_test.go
@@ -16,22 +16,22 @@
 	storeOutage = 3 * time.Second
 )
 
-// doorsOf returns the doors of a process.
-func (p plan) doorsOf(role string) (doors []door) {
-	for _, d := range p.Doors {
+// endpointsOf returns the endpoints of a process.
+func (p plan) endpointsOf(role string) (endpoints []endpoint) {
+	for _, d := range p.Endpoints {
 		if d.Process == role {
-			doors = append(doors, d)
+			endpoints = append(endpoints, d)
 		}
 	}
-	return doors
+	return endpoints
 }
 
-// startAllKinds starts clients of all kinds at all doors of a process, together as many as a
+// startAllKinds starts clients of all kinds at all endpoints of a process, together as many as a
 // single crowd has.
 func (x *deployment) startAllKinds(role string, connections int) (runs []*Run) {
-	doors := x.plan.doorsOf(role)
-	perCrowd := max(1, x.plan.Clients/(len(doors)*len(Kinds())))
-	for _, d := range doors {
+	endpoints := x.plan.endpointsOf(role)
+	perCrowd := max(1, x.plan.Clients/(len(endpoints)*len(Kinds())))
+	for _, d := range endpoints {
 		for _, kind := range Kinds() {
 			runs = append(runs, x.startCrowd(d, kind, perCrowd, connections))
 		}
@@ -51,7 +51,7 @@
 func TestProcessBearsAllKindsTogether(t *testing.T) {
 	forEachRole(t, func(t *testing.T, p plan, role string) {
 		x := startDeployment(t, p, role)
-		d := p.doorsOf(role)[0]
+		d := p.endpointsOf(role)[0]
 		x.requireAnswers(d, "before the crowd comes")
 		watch := x.watch()
 		runs := x.startAllKinds(role, 0)
@@ -72,7 +72,7 @@
 func TestProcessBearsKindsInSeries(t *testing.T) {
 	forEachRole(t, func(t *testing.T, p plan, role string) {
 		x := startDeployment(t, p, role)
-		d := p.doorsOf(role)[0]
+		d := p.endpointsOf(role)[0]
 		x.requireAnswers(d, "before the crowds come")
 		watch := x.watch()
 		for _, kind := range Kinds() {
@@ -93,7 +93,7 @@
 		time.Sleep(settleTime)
 		x.launch()
 		watch := x.watch()
-		d := p.doorsOf(role)[0]
+		d := p.endpointsOf(role)[0]
 		x.requireAnswers(d, "while the crowd is there")
 		for _, r := range runs {
 			r.Stop()
@@ -107,7 +107,7 @@
 func TestProcessBearsCrowdWithoutStore(t *testing.T) {
 	p := loadPlan(t)
 	x := startDeployment(t, p, "serve")
-	d := p.doorsOf("serve")[0]
+	d := p.endpointsOf("serve")[0]
 	x.requireAnswers(d, "before the crowd comes")
 	watch := x.watch()
 	runs := x.startAllKinds("serve", persistent)
@@ -127,7 +127,7 @@
 func TestDrainEndsBesideCrowd(t *testing.T) {
 	p := loadPlan(t)
 	x := startDeployment(t, p, "serve")
-	x.requireAnswers(p.doorsOf("serve")[0], "before the crowd comes")
+	x.requireAnswers(p.endpointsOf("serve")[0], "before the crowd comes")
 	x.startAllKinds("serve", persistent)
 	time.Sleep(settleTime)
 	require.NoError(t, x.tested.Signal(syscall.SIGTERM))
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -43,9 +42,11 @@
 	stalledWrite = time.Second
 	// closeTime is how long a refused client has to read the answer before the connection is
 	// closed, which may discard it.
-	closeTime       = 500 * time.Millisecond
-	refusalTimeout  = time.Second
-	refusalRetrySec = 0.3
+	closeTime = 500 * time.Millisecond
+	// refusalTimeout bounds the writing of that answer, and refusalRetryAfter is the
+	// Retry-After of one for lack of memory, in seconds: another process may have memory.
+	refusalTimeout    = time.Second
+	refusalRetryAfter = "0.3"
 )
 
 // Stages of a connection. The process waits for the client in all of them but stageCall and
@@ -131,11 +132,11 @@
 	size := s.headBytes
 	s.mu.Unlock()
 	if limit := c.l.cfg.Limits().HeaderBytes; limit > 0 && size > limit+headSlack {
-		c.l.countClosed(boundHead)
+		c.l.countClosed(boundHead, c.RemoteAddr())
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
 	if !c.hold(extra) {
-		c.l.refuse(boundMemory)
+		c.l.countRefused(boundMemory, c.RemoteAddr())
 		return http.StatusServiceUnavailable
 	}
 	return 0
@@ -170,7 +171,7 @@
 func (c *conn) answerRefused(status int) {
 	resp := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}}
 	if status == http.StatusServiceUnavailable {
-		resp.Header.Set("Retry-After", strconv.FormatFloat(refusalRetrySec, 'f', -1, 64))
+		resp.Header.Set("Retry-After", refusalRetryAfter)
 	}
 	c.state.mu.Lock()
 	c.state.refused = true
@@ -307,11 +308,11 @@
 	c.state.mu.Unlock()
 	switch s {
 	case stageNew, stageIdle:
-		c.l.countClosed(boundIdleTime)
+		c.l.countClosed(boundIdleTime, c.RemoteAddr())
 	case stageHead:
-		c.l.countClosed(boundHeadTime)
+		c.l.countClosed(boundHeadTime, c.RemoteAddr())
 	case stageBody:
-		c.l.countClosed(boundBodyTime)
+		c.l.countClosed(boundBodyTime, c.RemoteAddr())
 	}
 	return s
 }
@@ -357,7 +358,7 @@
 		}
 		since = s.writeSince
 	}
-	return waiting{conn: c, time: now.Sub(since), held: s.held + s.bodyBytes, answering: s.stage == stageCall}, !s.evicted && !s.closed
+	return waiting{conn: c, waited: now.Sub(since), held: s.held + s.bodyBytes, answering: s.stage == stageCall}, !s.evicted && !s.closed
 }
 
 // evictedBytes returns what the connection still holds after it was evicted.
@@ -387,6 +388,5 @@
 		reset(c.Conn)
 	}
 	c.l.forget(c)
-	c.l.countClosed(b)
-	c.l.logBound(b, "downstream: connection closed that its client kept waiting")
+	c.l.countClosed(b, c.RemoteAddr())
 }
--- a/downstream/downstream.go
+++ b/downstream/downstream.go
@@ -3,7 +3,7 @@
 // through net/http.
 //
 // A Guard has one bound of memory for the whole process; each Listener of the process has a
-// share of the descriptors, so that one crowd does not close the door to others. When a bound
+// share of the descriptors, so that a crowd at one address does not keep clients from another. When a bound
 // is met, the guard closes connections on whose clients the process waits: those that have
 // kept it waiting for the longest and make it hold the most. A connection whose request is
 // whole and being served is never closed for another; if there are only such, the new one is
@@ -20,6 +20,15 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 )
 
+// Shares of a process's memory limit. Clients' share and what the process holds without them stay
+// below the heap's, so that the garbage collector does not run all the time.
+const (
+	// MemoryShare is what clients may take.
+	MemoryShare = 0.3
+	// HeapShare is the soft memory limit of the Go runtime.
+	HeapShare = 0.7
+)
+
 type (
 	// Guard bounds the memory that the clients of a process make it hold. Create it with
 	// NewGuard.
--- a/downstream/evict.go
+++ b/downstream/evict.go
@@ -13,16 +13,16 @@
 
 // waiting is a connection on whose client the process waits.
 type waiting struct {
-	conn *conn
-	time time.Duration // for which the process has waited
-	held int           // bytes
+	conn   *conn
+	waited time.Duration
+	held   int // bytes
 	// answering means that the client does not read its answer; otherwise it has not sent a
 	// whole request.
 	answering bool
 }
 
 // cost ranks connections by what they hold and for how long.
-func (w waiting) cost() float64 { return float64(w.held) * w.time.Seconds() }
+func (w waiting) cost() float64 { return float64(w.held) * w.waited.Seconds() }
 
 // reclaim closes connections on whose clients the process waits, until they free n bytes, and
 // reports whether memory is being freed. While many requests ask for memory, one of them looks
@@ -75,7 +75,7 @@
 	var longest waiting
 	l.mu.Lock()
 	for c := range l.conns {
-		if w, ok := c.waiting(now); ok && (longest.conn == nil || w.time > longest.time) {
+		if w, ok := c.waiting(now); ok && (longest.conn == nil || w.waited > longest.waited) {
 			longest = w
 		}
 	}
@@ -87,14 +87,14 @@
 	return true
 }
 
-// CloseWaiting closes the connections of the listener whose clients have kept the process
-// waiting for a whole request for at least d.
+// CloseWaiting closes the connections of the listener that serve no request and whose clients
+// have sent no whole one for at least d.
 func (l *Listener) CloseWaiting(d time.Duration) {
 	now := clock.Now()
 	var late []*conn
 	l.mu.Lock()
 	for c := range l.conns {
-		if w, ok := c.waiting(now); ok && !w.answering && w.time >= d {
+		if w, ok := c.waiting(now); ok && !w.answering && w.waited >= d {
 			late = append(late, c)
 		}
 	}
--- a/downstream/handler.go
+++ b/downstream/handler.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/ragworthitch/ragworthitch/admit"
 )
@@ -54,11 +53,11 @@
 	size, fields := headSize(r)
 	held := c.beginCall(size, fields)
 	if limit := l.cfg.Limits().HeaderBytes; limit > 0 && size > limit {
-		l.countClosed(boundHead)
+		l.countClosed(boundHead, c.RemoteAddr())
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
 	if !held {
-		l.refuse(boundMemory)
+		l.countRefused(boundMemory, c.RemoteAddr())
 		return http.StatusServiceUnavailable
 	}
 	return 0
@@ -67,7 +66,7 @@
 // refuse answers a request that was not run, and ends the connection.
 func refuse(w http.ResponseWriter, status int) {
 	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.FormatFloat(refusalRetrySec, 'f', -1, 64))
+		w.Header().Set("Retry-After", refusalRetryAfter)
 	}
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(status)
@@ -76,8 +75,8 @@
 // headSize returns the size of a request's head in its shortest encoding, and the number of
 // its fields.
 func headSize(r *http.Request) (size, fields int) {
-	const separators = len("  \r\n") // of the first line, and of a field at least
-	size = len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host:\r\n") + len(r.Host) + len("\r\n")
+	firstLine := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\r\n")
+	size = firstLine + len("Host:") + len(r.Host) + len("\r\n") + len("\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
 			size += len(name) + len(v) + len(":\r\n")
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -25,8 +25,8 @@
 	acceptTimeout = 5 * time.Millisecond
 	// maxTimeout stands for a timeout that is set elsewhere.
 	maxTimeout = 24 * time.Hour
-	// evictLogInterval is how often a listener logs that it closes connections.
-	evictLogInterval = time.Second
+	// logInterval is how often a listener logs that a bound was met.
+	logInterval = time.Second
 )
 
 type (
@@ -52,8 +52,8 @@
 		mu       sync.Mutex
 		conns    map[*conn]struct{} // open connections
 		evicted  map[*conn]struct{} // closed, but not yet all freed
-		loggedAt clock.Time
-		unlogged int // connections closed since
+		loggedAt clock.Time         // last line about a bound
+		unlogged int                // times that a bound was met since
 	}
 
 	connKey struct{}
@@ -117,12 +117,12 @@
 // admit returns the connection with its memory taken, or nil if there is no room for it.
 func (l *Listener) admit(nc net.Conn) *conn {
 	if l.cfg.MaxConns > 0 && l.open() >= l.cfg.MaxConns && !l.evictLongest() {
-		l.refuse(boundConnections)
+		l.countRefused(boundConnections, nc.RemoteAddr())
 		return nil
 	}
 	memory := l.guard.memory
 	if !memory.TryReserveWithin(connBytes, acceptTimeout) {
-		l.refuse(boundMemory)
+		l.countRefused(boundMemory, nc.RemoteAddr())
 		return nil
 	}
 	c := &conn{Conn: nc, l: l, state: connState{since: clock.Now(), held: connBytes}}
@@ -157,35 +157,41 @@
 	delete(l.evicted, c)
 }
 
-// countClosed counts a connection that is closed because a bound was met.
-func (l *Listener) countClosed(b bound) { l.counter("closed_" + string(b)).Inc(1) }
+// countClosed counts and logs that a client's connection is closed because a bound was met.
+func (l *Listener) countClosed(b bound, client net.Addr) {
+	l.counter("closed_" + string(b)).Inc(1)
+	if b != boundIdleTime {
+		l.logBound(b, client, "downstream: client met a bound; its connection is closed")
+	}
+}
 
-// refuse counts and logs a connection that is refused.
-func (l *Listener) refuse(b bound) {
+// countRefused counts and logs that a client's connection or request is refused for lack of
+// room.
+func (l *Listener) countRefused(b bound, client net.Addr) {
 	l.refused.Inc(1)
-	l.logBound(b, "downstream: connection refused")
+	l.logBound(b, client, "downstream: no room for a client; refused")
 }
 
-// logBound logs that a bound was met, at most once every evictLogInterval.
-func (l *Listener) logBound(b bound, message string) {
+// logBound logs that a client met a bound, at most once every logInterval.
+func (l *Listener) logBound(b bound, client net.Addr, message string) {
 	l.mu.Lock()
 	l.unlogged++
 	now, n := clock.Now(), l.unlogged
-	if l.loggedAt != 0 && now.Sub(l.loggedAt) < evictLogInterval {
+	if l.loggedAt != 0 && now.Sub(l.loggedAt) < logInterval {
 		l.mu.Unlock()
 		return
 	}
 	l.loggedAt, l.unlogged = now, 0
 	open := len(l.conns)
 	l.mu.Unlock()
-	l.log.Warn().Str("bound", string(b)).Int("connections", open).Int("maxConnections", l.cfg.MaxConns).Int64("memory", l.guard.memory.Used()).
-		Int64("maxMemory", l.guard.memory.Limit()).Int("closed", n).Msg(message)
+	l.log.Warn().Str("bound", string(b)).Stringer("client", client).Int("connections", open).Int("maxConnections", l.cfg.MaxConns).Int64("memory", l.guard.memory.Used()).
+		Int64("maxMemory", l.guard.memory.Limit()).Int("times", n).Msg(message)
 }
 
-// reset closes a connection so that its client learns at once that nothing was read.
+// reset closes a connection with a reset, and without sending what waits to be sent.
 func reset(nc net.Conn) {
 	if tcp, ok := nc.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // then it is closed without a reset
+		_ = tcp.SetLinger(0) // if this fails, Close sends no reset
 	}
 	_ = nc.Close()
 }
--- a/handlers/handlers.go
+++ b/handlers/handlers.go
@@ -44,8 +44,8 @@
 	RetryAfterS int    `json:"retryAfterS,omitempty"`
 }
 
-// Listener returns the configuration of the listener for callers.
-func Listener(cfg *settings.File) downstream.ListenerConfig {
+// ListenerConfig returns the configuration of the listener for callers.
+func ListenerConfig(cfg *settings.File) downstream.ListenerConfig {
 	limits := ragworthitch.Limits{HeaderBytes: maxHeadBytes, BodyBytes: maxBodyBytes, HeaderTime: headTime, IdleTime: idleTime}
 	return downstream.ListenerConfig{Name: "callers", MaxConns: cfg.Limits.ClientConns(), WriteTimeout: writeTimeout,
 		Limits: func() ragworthitch.Limits { return limits }}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -53,15 +53,10 @@
 	// before this instance has to reject calls.
 	readyAgeFraction = 0.52
 
-	// heapFraction of the memory limit is the soft memory limit of the Go runtime.
-	heapFraction = 0.7
-
-	// clientFraction of the memory limit bounds what clients make this instance hold:
-	// connections, heads, bodies and answers that they have not accepted yet.
-	clientFraction = 0.3
 	// Fractions of the limit on descriptors that the connections of callers, of other
 	// instances and of the load balancer's readiness checks may take. The rest is for
-	// connections to targets, to the store and to other instances, and for files.
+	// connections to targets, to the store and to other instances, and for files. Each may
+	// have minConns.
 	callerConnFraction    = 0.35
 	internalConnFraction  = 0.2
 	readinessConnFraction = 0.02
@@ -117,24 +112,24 @@
 	shares         fairshare.Tracker // usage of organisations at all instances
 	rollouts       rollout.Tracker
 	startedAt      clock.Time
-	clients        *downstream.Guard
-	gate           admit.Gate    // refuses callers' connections while there is too little processor time
-	targetsRead    atomic.Bool   // the table of targets has been read
-	instancesRead  atomic.Bool   // the table of instances, with crash records, has been read
-	started        chan struct{} // closed when the desired state and all tables have been read
+	clients        *downstream.Guard // bounds what clients make this instance hold
+	gate           admit.Gate        // refuses callers' connections while there is too little processor time
+	targetsRead    atomic.Bool       // the table of targets has been read
+	instancesRead  atomic.Bool       // the table of instances, with crash records, has been read
+	started        chan struct{}     // closed when the desired state and all tables have been read
 }
 
 // New returns an instance with the platform's settings. metrics is served on
 // the internal address; nil: not at all.
 func New(settings platform.Settings, log zerolog.Logger, scope tally.Scope, metrics http.Handler) *Instance {
 	if settings.Memory() > 0 {
-		debug.SetMemoryLimit(int64(heapFraction * float64(settings.Memory())))
+		debug.SetMemoryLimit(int64(downstream.HeapShare * float64(settings.Memory())))
 	}
 	bounds := settings.Bounds()
 	i := &Instance{startedAt: clock.Now(), started: make(chan struct{}), settings: settings, log: log, store: platform.NewStore(settings.Store()), metrics: metrics, unreadable: platform.NewUnreadableRows(log, scope),
 		desiredState: desired.NewTracker(desired.Ages{Reject: scale(rejectAgeFraction, bounds.Config), Key: scale(keyAgeFraction, bounds.Revoke)})}
 	i.store.CountCalls(scope)
-	i.clients = downstream.NewGuard(int64(clientFraction*float64(settings.Memory())), log, scope)
+	i.clients = downstream.NewGuard(int64(downstream.MemoryShare*float64(settings.Memory())), log, scope)
 	i.gate.Log = log
 	if scope != nil {
 		i.gate.OnRefuse = func() { scope.Counter("connections_refused").Inc(1) }
@@ -204,9 +199,9 @@
 	p.Go(i.persistCrashes)
 	p.Go(i.runRollouts)
 	p.Go(i.runGate)
-	i.callListener, i.callServer = i.serve(p, i.gate.Listen(callListener), downstream.ListenerConfig{Name: "front", MaxConns: i.maxConns(callerConnFraction), Limits: i.limits},
+	i.callListener, i.callServer = i.serve(p, i.gate.Listen(callListener), downstream.ListenerConfig{Name: "callers", MaxConns: i.maxConns(callerConnFraction), Limits: i.limits},
 		&platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.clients.Memory(), Log: i.log})
-	i.serve(p, readinessListener, downstream.ListenerConfig{Name: "ready", MaxConns: i.maxConns(readinessConnFraction), Limits: internalLimits}, platform.Ready(i.Ready))
+	i.serve(p, readinessListener, downstream.ListenerConfig{Name: "readiness", MaxConns: i.maxConns(readinessConnFraction), Limits: internalLimits}, platform.Ready(i.Ready))
 	i.serveInternal(p)
 	p.Go(func(lifetime context.Context) error {
 		select {
@@ -319,7 +314,7 @@
 	if i.metrics != nil {
 		r.Handler(http.MethodGet, metricsPath, i.metrics)
 	}
-	i.serve(p, ln, downstream.ListenerConfig{Name: "internal", MaxConns: i.maxConns(internalConnFraction), Limits: internalLimits}, r)
+	i.serve(p, ln, downstream.ListenerConfig{Name: "instances", MaxConns: i.maxConns(internalConnFraction), Limits: internalLimits}, r)
 	p.Go(i.peers.Run)
 	p.Go(i.announce)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/ragworthitch/ragworthitch/downstream"
 )
 
 // Target kinds.
@@ -36,11 +38,10 @@
 	FencingIgnore = "ignore" // runs the call
 )
 
-// Shares of a process's limits.
+// The connections of clients may take clientConnShare of a process's descriptors, and
+// minClientConns at least.
 const (
-	clientShare     = 0.3 // of the memory
-	heapShare       = 0.7 // of the memory
-	clientConnShare = 0.5 // of the descriptors
+	clientConnShare = 0.5
 	minClientConns  = 8
 )
 
@@ -301,10 +302,10 @@
 }
 
 // ClientMemory returns how many bytes clients may make a process hold.
-func (l Limits) ClientMemory() int64 { return int64(clientShare * float64(l.bytes())) }
+func (l Limits) ClientMemory() int64 { return int64(downstream.MemoryShare * float64(l.bytes())) }
 
 // HeapBytes returns the soft limit on the memory that the Go runtime uses, in bytes.
-func (l Limits) HeapBytes() int64 { return int64(heapShare * float64(l.bytes())) }
+func (l Limits) HeapBytes() int64 { return int64(downstream.HeapShare * float64(l.bytes())) }
 
 func (l Limits) bytes() int64 { return int64(l.MemoryMB) << 20 }
 
