crowd: a test of clients with unfinished bodies that come back

Cause: clients that stop short of a body's end stayed in that state when the server had closed their connection, so that a crowd of them opened some 290 connections where its description lets each of 200 come four times.

Change: the crowds of TestProcessBearsCrowd stay as they were fixed. Crowd.Returning, for a test of its own, lets such clients notice the close and come again; TestProcessBearsReturningBodies has three kinds of bodies at each process, with the same bounds.

--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -42,7 +42,10 @@
 		// Unfinished means that no client finishes a request, so that none is run. It has no
 		// effect on SentAhead and SlowReaders.
 		Unfinished bool
-		Server     Server
+		// Returning means that a client with an unfinished body notices that the server has
+		// closed its connection, and opens the next one.
+		Returning bool
+		Server    Server
 	}
 
 	// Server is what a crowd is sent to, and what the server allows.
@@ -78,8 +81,9 @@
 		server Server
 		index  int
 		// finishes is set if the client finishes its requests.
-		finishes bool
-		settle   func()
+		finishes  bool
+		returning bool
+		settle    func()
 	}
 )
 
@@ -106,7 +110,7 @@
 	})
 	for i := range c.Clients {
 		r.settled.Add(1)
-		cl := &client{run: r, kind: c.Kind, server: c.Server, index: i, finishes: !c.Unfinished && i%finishingShare == 0, settle: sync.OnceFunc(r.settled.Done)}
+		cl := &client{run: r, kind: c.Kind, server: c.Server, index: i, finishes: !c.Unfinished && i%finishingShare == 0, returning: c.Returning, settle: sync.OnceFunc(r.settled.Done)}
 		r.clients.Go(func() { cl.connectRepeatedly(ctx, connections) })
 	}
 	return r, nil
--- a/crowd/kinds.go
+++ b/crowd/kinds.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -60,6 +61,9 @@
 	filler = 'x'
 )
 
+// errUnfinished ends a body that is not finished.
+var errUnfinished = errors.New("crowd: body is not finished")
+
 type (
 	// Kind says how a client behaves.
 	Kind string
@@ -78,7 +82,8 @@
 		flush  func() error
 		settle func()
 		ctx    context.Context
-		stop   bool // the body ends one byte short and blocks until ctx ends
+		stop   bool            // the body ends one byte short and blocks until ctx ends or giveUp
+		giveUp <-chan struct{} // nil: never
 	}
 )
 
@@ -199,9 +204,13 @@
 		}
 		req := c.newRequest(length)
 		w := bufio.NewWriterSize(stallWriter{conn}, pieceBuffer)
-		req.Body = io.NopCloser(&bodySource{text: c.server.Body, size: size, piece: p.pieceBytes, pause: p.pause, flush: w.Flush, settle: c.settle, ctx: ctx,
-			stop: p.times == 0 && !c.finishes})
+		source := &bodySource{text: c.server.Body, size: size, piece: p.pieceBytes, pause: p.pause, flush: w.Flush, settle: c.settle, ctx: ctx,
+			stop: p.times == 0 && !c.finishes}
+		req.Body = io.NopCloser(source)
 		answered := make(chan struct{})
+		if c.returning {
+			source.giveUp = answered
+		}
 		go func() {
 			defer close(answered)
 			io.Copy(io.Discard, conn)
@@ -226,8 +235,11 @@
 	}
 	if s.sent == end && s.stop {
 		s.settle()
-		<-s.ctx.Done()
-		return 0, s.ctx.Err()
+		select {
+		case <-s.ctx.Done():
+		case <-s.giveUp:
+		}
+		return 0, errUnfinished
 	}
 	if s.sent == end {
 		return 0, io.EOF
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -63,7 +63,7 @@
 		Body    bodyText `yaml:"body"`
 	}
 
-	// bodyText is how the bodies at a endpoint begin and end.
+	// bodyText is how the bodies at an endpoint begin and end.
 	bodyText struct {
 		Start string `yaml:"start"`
 		End   string `yaml:"end"`
@@ -76,10 +76,12 @@
 		dir    string
 		ports  map[string]int
 		tested *process.Process
-		launch func()                                 // starts the tested process
-		store  *http.Server                           // of an instance on the platform
-		send   func(id string) (*http.Request, error) // an ordinary request
-		header http.Header                            // of the crowd's requests
+		launch func()       // starts the tested process
+		store  *http.Server // of an instance on the platform
+
+		returning bool                                   // crowds are Returning
+		send      func(id string) (*http.Request, error) // an ordinary request
+		header    http.Header                            // of the crowd's requests
 	}
 )
 
@@ -142,14 +144,14 @@
 	watch.requireBounds()
 }
 
-// startCrowd starts a crowd at a endpoint of the deployment.
+// startCrowd starts a crowd at an endpoint of the deployment.
 func (x *deployment) startCrowd(d endpoint, kind Kind, clients, connections int) *Run {
 	server := Server{Addr: x.addr(d.Port), Host: callHost, Method: d.Method, Path: d.Path, Header: x.header, IDHeader: platform.RequestIDHeader,
 		HeadBytes: x.plan.HeadBytes, BodyBytes: x.plan.BodyBytes, Body: Text(d.Body)}
 	if d.Process != "serve" {
 		server.IDHeader = handlers.HeaderRequestID
 	}
-	run, err := Crowd{Kind: kind, Clients: clients, Connections: connections, Server: server}.Start(x.t.Context())
+	run, err := Crowd{Kind: kind, Clients: clients, Connections: connections, Returning: x.returning, Server: server}.Start(x.t.Context())
 	require.NoError(x.t, err)
 	x.t.Cleanup(run.Stop)
 	return run
--- a/crowd/scenario_test.go
+++ b/crowd/scenario_test.go
@@ -85,6 +85,30 @@
 	})
 }
 
+// Guards against clients that come back as often as they are closed with bodies that they never
+// finish, so that ordinary callers are closed in their place.
+func TestProcessBearsReturningBodies(t *testing.T) {
+	forEachRole(t, func(t *testing.T, p plan, role string) {
+		for _, kind := range []Kind{WholeBodies, PiecedBodies, ChunkedBodies} {
+			t.Run(string(kind), func(t *testing.T) {
+				x := startDeployment(t, p, role)
+				x.returning = true
+				d := p.endpointsOf(role)[0]
+				x.requireAnswers(d, "before the crowd comes")
+				watch := x.watch()
+				run := x.startCrowd(d, kind, p.Clients, persistent)
+				run.AwaitSettled()
+				time.Sleep(settleTime)
+				x.requireAnswers(d, "while the crowd is there")
+				run.Stop()
+				x.requireAnswers(d, "after the crowd has left")
+				t.Logf("%d connections, %d of them closed by the process", run.Opened(), run.Closed())
+				watch.requireBounds()
+			})
+		}
+	})
+}
+
 // Guards against a process that does not start while a crowd waits for it.
 func TestProcessStartsBeforeCrowd(t *testing.T) {
 	forEachRole(t, func(t *testing.T, p plan, role string) {
