--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -229,9 +229,10 @@
 	loss.Zone = c.countLostNeighbours(m, isReachable, func(o ragworthitch.Target) bool { return o.Zone() == t.Zone() })
 	loss.Service = c.countLostNeighbours(m, isReachable, func(o ragworthitch.Target) bool { return o.Service() == t.Service() })
 	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("route", c.grant.Route.Name()).Str("target", t.ID()).Int("zoneAsked", loss.Zone.Asked).Int("zoneLost", loss.Zone.Lost).
-		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Stringer("phase", end.phase).Int("events", end.events).Dur("ran", end.ran).Strs("promptParts", c.call.SharedParts).Bool("together", loss.InOutage()).
+		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Stringer("phase", end.phase).Int("events", end.events).Dur("ran", end.ran).Strs("promptParts", c.call.SharedParts).Str("lastPart", c.call.Subject).Bool("together", loss.InOutage()).
 		Msg("poison: target crashed while it ran an attempt")
 	if loss.InOutage() && end.phase != poison.Begun {
+		c.logNotBlamed(m, "target lost along with others", end.events)
 		return // all streams of the zone have such an end
 	}
 	if !loss.InOutage() && c.h.targetMemory.Crashed(c.service(), end.bodies, len(c.call.Body)) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -277,7 +277,7 @@
 	interval := s.activeCall.interval(m, p, clock.Now())
 	s.h.log.Info().Str("request", s.call.ID).Stringer("fingerprint", s.request.Fingerprint).Str("route", s.grant.Route.Name()).Str("org", s.grant.Org).Int64("version", s.grant.Version).
 		Dur("proofAge", s.grant.Age).Str("target", m.Target().ID()).Str("targetZone", m.Target().Zone()).Int("prefill", load.Prefill).Int("running", load.Running).
-		Int("tokens", load.Tokens).Bool("fromCopy", replicaTarget != nil).Str("copyTo", r.ReplicateTo).Int64("afterEvent", s.lastID).Int("prompt", s.call.Prompt).Strs("promptParts", s.call.SharedParts).
+		Int("tokens", load.Tokens).Bool("fromCopy", replicaTarget != nil).Str("copyTo", r.ReplicateTo).Int64("afterEvent", s.lastID).Int("prompt", s.call.Prompt).Strs("promptParts", s.call.SharedParts).Str("lastPart", s.call.Subject).
 		Uint8("rank", uint8(r.Rank)).Dur("engineGap", interval).Dur("expected", p.TimeToFirstEvent(prefillTokens, interval)).
 		Dur("left", r.Remaining).Msg("route: stream sent")
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -82,6 +82,7 @@
 		threshold       int   // crashes with strong evidence that quarantine the suspect, at the last evaluation
 		weakThreshold   int   // crashes that do with weak evidence; 0: not determined
 		byWeak          bool  // strong evidence alone is not enough
+		loggedCrashes   int   // crashes at the last log line about a verdict
 		probes          int   // since the quarantine
 		probeRowVersion int64 // of the store's row that counts the probes; 0: no row
 		updatedAt       clock.Time
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -83,11 +83,24 @@
 			e.addExplanations(s)
 		}
 		t.setQuarantined(s.suspect, quarantined, now)
+		t.logVerdict(&e, s)
 		t.storeCrashes(s.suspect, now)
 	}
 	t.scheduleEvaluation(now)
 }
 
+// logVerdict logs, for each further crash of a suspect from minCrashThreshold on, what this
+// instance's verdict rests on.
+func (t *Tracker) logVerdict(e *evaluation, s countedSuspect) {
+	if n := len(s.suspect.crashes); n < minCrashThreshold || n <= s.loggedCrashes {
+		return
+	}
+	s.loggedCrashes = len(s.suspect.crashes)
+	s.describe(t.Log.Info()).Bool("quarantined", s.quarantined).Int("deaths", len(s.suspect.crashes)).Int("counted", len(s.crashes)).Int("strong", s.strong).
+		Int("settled", len(s.settled(e.now))).Int("unexplained", s.attributed(e, true)).Int("threshold", s.threshold).Int("weakThreshold", s.weakThreshold).
+		Bool("leads", e.leads(s)).Int("ranWellLately", t.recentSuccesses(s.suspect, e.now)).Msg("poison: verdict")
+}
+
 // judge reports whether the crashes of a suspect are enough to quarantine it: those with
 // strong evidence, or all.
 func (e *evaluation) judge(s countedSuspect) bool {
