--- a/soak/caller.go
+++ b/soak/caller.go
@@ -154,7 +154,7 @@
 	if call.Kind == CallStream {
 		headers.Stream = &platform.CallerStream{Model: model, Subject: call.Subject, Prompt: promptTokens, MaxTokens: call.TotalEvents}
 		if call.PoisonPart {
-			headers.Stream.SharedPart = poisonPart
+			headers.Stream.SharedPart, headers.Stream.Place = poisonPart, call.Place
 		}
 	}
 	headers.Set(req.Header)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -137,6 +137,11 @@
 		// Moment of an answer at which a poison request crashes its target; empty: after the
 		// head of a stream.
 		Moment platform.CrashMoment `yaml:"moment,omitempty"`
+		// Place is where in its prompts the part of KindPoisonPart stands.
+		Place platform.PartPlace `yaml:"place,omitempty"`
+		// EveryMs is the mean time between two requests of KindPoison and KindPoisonPart; 0:
+		// meanPoisonInterval.
+		EveryMs int `yaml:"everyMs,omitempty"`
 	}
 
 	// Size holds the number of nodes of each kind and of callers.
@@ -421,6 +426,12 @@
 	if f.Moment != "" {
 		fmt.Fprintf(&b, ", at %s", f.Moment)
 	}
+	if f.Place != "" {
+		fmt.Fprintf(&b, ", %s in the prompt", f.Place)
+	}
+	if f.EveryMs > 0 {
+		fmt.Fprintf(&b, ", every %d ms", f.EveryMs)
+	}
 	return b.String()
 }
 
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -80,7 +81,7 @@
 }
 
 // hasPoisonPart reports whether the prompt of a call has the poison part.
-func hasPoisonPart(c platform.ReceivedCall) bool { return slices.Contains(c.SharedParts, poisonPart) }
+func hasPoisonPart(c platform.ReceivedCall) bool { return slices.Contains(c.PromptParts, poisonPart) }
 
 // sendPoison sends poison requests to random instances for the duration of the fault.
 func (x *execution) sendPoison(ctx context.Context, f Fault) {
@@ -92,7 +93,8 @@
 	}
 	c := newCaller(x, x.size.Callers+f.AtMs)
 	defer c.disconnect()
-	for clock.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanPoisonInterval))) {
+	interval := cmp.Or(time.Duration(f.EveryMs)*time.Millisecond, meanPoisonInterval)
+	for clock.Sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(interval))) {
 		go c.sendPoisonOnce(kind, f, c.rng.Uint64())
 	}
 }
@@ -104,7 +106,7 @@
 	defer oneShot.disconnect()
 	oneShot.entryIndex = oneShot.exec.balancer.pick(oneShot.rng)
 	call := oneShot.newCall(kind, 0, fmt.Sprintf("%x", seed))
-	call.Poison, call.PoisonPart, call.Moment = true, f.Kind == KindPoisonPart, f.Moment
+	call.Poison, call.PoisonPart, call.Moment, call.Place = true, f.Kind == KindPoisonPart, f.Moment, f.Place
 	oneShot.make(&call)
 }
 
--- a/soak/records.go
+++ b/soak/records.go
@@ -57,6 +57,7 @@
 		PoisonPart   bool          `json:"deadlyPart"` // a poison request because of a part of its prompt
 		// Moment is when a poison request crashes its target.
 		Moment platform.CrashMoment `json:"moment,omitempty"`
+		Place  platform.PartPlace   `json:"place,omitempty"` // of the poison part in the prompt
 
 		Connected    bool     `json:"connected"`
 		Status       int      `json:"status"` // 0: no answer
