--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -81,12 +81,18 @@
 	MaxAttempts *int     `yaml:"maxAttempts,omitempty"` // of all routes
 	BudgetRatio *float64 `yaml:"budgetRatio,omitempty"` // retry budget in the instances' settings
 	BudgetExtra *float64 `yaml:"budgetExtra,omitempty"`
+	// FirstEventMs is the time of an engine to the head of an answer; 0: firstEventTime.
+	FirstEventMs int `yaml:"firstEventMs,omitempty"`
 }
 
 func (d Deployment) maxAttempts() int     { return valueOr(d.MaxAttempts, defaultMaxAttempts) }
 func (d Deployment) budgetRatio() float64 { return valueOr(d.BudgetRatio, defaultBudgetRatio) }
 func (d Deployment) budgetExtra() float64 { return valueOr(d.BudgetExtra, defaultBudgetExtra) }
 
+func (d Deployment) firstEvent() time.Duration {
+	return cmp.Or(time.Duration(d.FirstEventMs)*time.Millisecond, firstEventTime)
+}
+
 func valueOr[T any](p *T, otherwise T) T {
 	if p == nil {
 		return otherwise
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/ragworthitch/ragworthitch/loopback"
 	"github.com/ragworthitch/ragworthitch/platform"
@@ -33,10 +34,11 @@
 	target struct {
 		node
 		targetSpec
-		storeAddr string // the store's address for this target
-		recordDir string
-		config    TargetConfig // of the latest process; guarded by mu
-		idCount   int          // guarded by mu
+		storeAddr  string // the store's address for this target
+		recordDir  string
+		firstEvent time.Duration
+		config     TargetConfig // of the latest process; guarded by mu
+		idCount    int          // guarded by mu
 	}
 )
 
@@ -103,7 +105,7 @@
 
 // newTarget creates a target's node and opens its link to the store.
 func (x *execution) newTarget(spec targetSpec) (*target, error) {
-	t := &target{targetSpec: spec, recordDir: x.dir}
+	t := &target{targetSpec: spec, recordDir: x.dir, firstEvent: x.plan.Deployment.firstEvent()}
 	free, err := loopback.FreePort()
 	if err != nil {
 		return nil, err
@@ -118,7 +120,7 @@
 	defer t.mu.Unlock()
 	t.idCount++
 	id := fmt.Sprintf("i-%s-%d", t.name, t.idCount)
-	return TargetConfig{ID: id, Node: t.name, Service: service, Zone: t.zone, Store: t.storeAddr,
+	return TargetConfig{ID: id, Node: t.name, Service: service, Zone: t.zone, Store: t.storeAddr, FirstEvent: t.firstEvent,
 		Records: filepath.Join(t.recordDir, id+recordsSuffix)}
 }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -48,6 +48,8 @@
 		Store   string `json:"store"`
 		Records string `json:"records"` // file that records are appended to
 		StepMs  int    `json:"stepMs"`  // clock step
+
+		FirstEvent time.Duration `json:"firstEvent"` // of an engine
 	}
 
 	// Target is a model engine or a plain service in its own process: the platform's
@@ -75,7 +77,7 @@
 	defer f.Close()
 	t := &Target{cfg: cfg, records: f, http: http.Client{Timeout: platform.TargetHeartbeat},
 		bootTimeMs: time.Now().Add(time.Duration(cfg.StepMs) * time.Millisecond).UnixMilli()}
-	t.standIn = platform.TargetStandIn{ID: cfg.ID, Events: streamEvents, EventInterval: eventInterval, FirstEventDelay: firstEventTime, Listen: cfg.Listen,
+	t.standIn = platform.TargetStandIn{ID: cfg.ID, Events: streamEvents, EventInterval: eventInterval, FirstEventDelay: cfg.FirstEvent, Listen: cfg.Listen,
 		Peers: &platform.Peers{SendReplica: t.sendReplica}, Work: answerGenerator(cfg.ID), OnRun: t.recordAttempt, OnArrival: t.recordArrival, OnBackoff: t.recordBackoff, Mux: t.extraHandler(), TakeOver: t.takeOver,
 		CrashTrigger: platform.CrashTrigger{Matches: func(c platform.ReceivedCall) bool { return isPoison(c) }, Moment: crashMoment, BeforeCrash: t.recordCrash,
 			OnCrash: func(platform.ReceivedCall) { os.Exit(crashExitCode) }}}
