--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -50,7 +50,7 @@
 // poisonRequest returns what the tracker of poison requests needs to know of a call.
 func poisonRequest(grant desired.Grant, call *Call) poison.Request {
 	return poison.Request{Fingerprint: poison.Of(grant.Org, call.Method, call.Host, call.Path, call.Body),
-		Parts: poison.Parts(call.SharedParts), Org: grant.Org, Service: grant.Service.Name()}
+		Parts: poison.PromptParts(call.SharedParts, call.Subject), Org: grant.Org, Service: grant.Service.Name()}
 }
 
 // passesQuarantine reports whether the call may run. If its request or a part of its prompt
--- a/poison/part_steps_test.go
+++ b/poison/part_steps_test.go
@@ -14,9 +14,10 @@
 	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
-// prompt returns a request that is new each time, with the given parts ("a+b").
+// prompt returns a request that is new each time, with the given parts ("a+b/last").
 func prompt(org, call, parts string) Request {
-	return Request{Fingerprint: Of(org, "POST", "h", call, nil), Parts: Parts(strings.Split(parts, "+")), Org: org, Service: "llm"}
+	shared, last, _ := strings.Cut(parts, "/")
+	return Request{Fingerprint: Of(org, "POST", "h", call, nil), Parts: PromptParts(strings.Split(shared, "+"), last), Org: org, Service: "llm"}
 }
 
 func optional(args []string, n int, fallback string) string {
--- a/poison/request.go
+++ b/poison/request.go
@@ -32,6 +32,9 @@
 	Part struct {
 		Fingerprint Fingerprint
 		ID          string // cut to maxPartID bytes
+		// Last is set for the last part of a prompt, which mostly belongs to one request or
+		// session.
+		Last bool
 	}
 
 	// partRun identifies the runs in which a request or part shows whether it crashes
@@ -75,6 +78,17 @@
 	return out
 }
 
+// PromptParts returns Parts of the ids before the last of a prompt, and the last one, which is in
+// no pair.
+func PromptParts(shared []string, last string) []Part {
+	out := Parts(shared)
+	if part := newPart(last); last != "" && !slices.Contains(out, part) {
+		part.Last = true
+		out = append(out, part)
+	}
+	return out
+}
+
 func newPart(id string) Part {
 	return Part{Fingerprint: sha256.Sum256([]byte(id)), ID: cut(id, maxPartID)}
 }
--- a/poison/sound.go
+++ b/poison/sound.go
@@ -223,7 +223,7 @@
 func (t *Tracker) SoundAt(r Request, version string, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.quarantinedIn(r) {
+	for _, s := range t.quarantinedIn(r, now) {
 		ranWell := t.soundRuns.lastAt(partRun{part: s.print, service: r.Service, version: version, extent: s.extent()}, now) != 0
 		if !ranWell || s.hasCrashedAt(r.Service, version) {
 			return false
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -152,7 +152,7 @@
 	if s := t.suspects[r.Fingerprint]; s != nil && !s.quarantined {
 		st.Crashes = len(s.countedCrashes(now))
 	}
-	quarantined := t.quarantinedIn(r)
+	quarantined := t.quarantinedIn(r, now)
 	st.Quarantined, st.Unresolved = len(quarantined) > 0, len(quarantined) > 0
 	mayProbe := true
 	for _, s := range quarantined {
@@ -174,16 +174,20 @@
 }
 
 // quarantinedIn returns the quarantined suspects that keep a request from being sent: the
-// request itself and parts of its prompt; t.mu is held.
-func (t *Tracker) quarantinedIn(r Request) []*suspect {
+// request itself and parts of its prompt. The last part of a prompt that only the request has
+// crashed targets with is left out, as it says no more than the request; t.mu is held.
+func (t *Tracker) quarantinedIn(r Request, now clock.Time) []*suspect {
 	var out []*suspect
-	if s := t.suspects[r.Fingerprint]; s != nil && s.quarantined {
-		out = append(out, s)
+	whole := t.suspects[r.Fingerprint]
+	if whole != nil && whole.quarantined {
+		out = append(out, whole)
 	}
 	for _, p := range r.Parts {
-		if s := t.suspects[p.Fingerprint]; s != nil && s.quarantined && s.concerns(r) {
-			out = append(out, s)
+		s := t.suspects[p.Fingerprint]
+		if s == nil || !s.quarantined || !s.concerns(r) || p.Last && len(out) > 0 && out[0] == whole && whole.explains(s, now) {
+			continue
 		}
+		out = append(out, s)
 	}
 	return out
 }
@@ -206,7 +210,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := &waiter{request: r, quarantined: make(chan struct{})}
-	if len(t.quarantinedIn(r)) > 0 {
+	if len(t.quarantinedIn(r, clock.Now())) > 0 {
 		close(w.quarantined)
 		return w.quarantined, func() {}
 	}
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -303,3 +303,16 @@
 	assert.True(t, tracker.RecordOwnCrash(r, strong, now))
 	assert.True(t, tracker.RecordSuccess(r, "v1", ToEnd, now.Add(time.Second)), "peers know the crash")
 }
+
+// Guards against a quarantined request that is probed later because of the last part of its
+// prompt, which no other request has.
+func TestLastPartDoesNotDelayProbe(t *testing.T) {
+	var tracker Tracker
+	r := Request{Fingerprint: fingerprintOf("a1"), Org: "a", Service: "llm", Parts: PromptParts(nil, "own")}
+	for n := range minCrashThreshold {
+		tracker.RecordOwnCrash(r, Crash{Boot: ragworthitch.NewBoot(fmt.Sprint("t", n), 0), Call: "c", Version: "v1"}, 1)
+	}
+	st := tracker.Status(r, 1)
+	assert.Equal(t, firstProbeDelay, st.Wait)
+	assert.Len(t, st.Probes, 1)
+}
