--- a/ingress/call.go
+++ b/ingress/call.go
@@ -59,6 +59,9 @@
 		HealthPath     string // of the service's targets; empty: none
 		isTest         bool   // the target was ejected, and this attempt tests it first
 		observe        func(TargetState)
+		// isQuarantined reports whether the call's request has been quarantined meanwhile; nil: it
+		// may run.
+		isQuarantined func() bool
 	}
 
 	// Rank is the priority of an attempt at a busy engine.
@@ -124,8 +127,12 @@
 }
 
 // MayWrite returns an error that wraps registry.ErrBarred if the target may get no call any
-// more: it was selected before that was known. Without a Member nothing is known.
+// more, or its request may not run any more: the target was selected before that was known.
+// Without a Member nothing is known of the target.
 func (r *AttemptRequest) MayWrite() error {
+	if r.isQuarantined != nil && r.isQuarantined() {
+		return errQuarantinedUnsent
+	}
 	if r.Member == nil {
 		return nil
 	}
--- a/ingress/poison.go
+++ b/ingress/poison.go
@@ -42,10 +42,15 @@
 	events    int           // of the attempt
 	ran       time.Duration // from startedAt to the end
 	bodies    int           // size of all request bodies at the target
+	running   []int         // calls with the request, and with each part of it, at this instance
 }
 
-// errQuarantined ends attempts that have not begun when their request is quarantined.
-var errQuarantined = errors.New("ingress: request quarantined")
+var (
+	// errQuarantined ends attempts that have not begun when their request is quarantined.
+	errQuarantined = errors.New("ingress: request quarantined")
+	// errQuarantinedUnsent is that of attempts that have not been sent yet.
+	errQuarantinedUnsent = fmt.Errorf("%w: %w", errQuarantined, registry.ErrBarred)
+)
 
 // poisonRequest returns what the tracker of poison requests needs to know of a call.
 func poisonRequest(grant desired.Grant, call *Call) poison.Request {
@@ -231,17 +236,15 @@
 	c.h.log.Info().Str("request", c.call.ID).Stringer("fingerprint", c.request.Fingerprint).Str("route", c.grant.Route.Name()).Str("target", t.ID()).Int("zoneAsked", loss.Zone.Asked).Int("zoneLost", loss.Zone.Lost).
 		Int("serviceAsked", loss.Service.Asked).Int("serviceLost", loss.Service.Lost).Stringer("phase", end.phase).Int("events", end.events).Dur("ran", end.ran).Strs("promptParts", c.call.SharedParts).Str("lastPart", c.call.Subject).Bool("together", loss.InOutage()).
 		Msg("poison: target crashed while it ran an attempt")
-	if loss.InOutage() && end.phase != poison.Begun {
-		c.logNotBlamed(m, "target lost along with others", end.events)
-		return // all streams of the zone have such an end
-	}
 	if !loss.InOutage() && c.h.targetMemory.Crashed(c.service(), end.bodies, len(c.call.Body)) {
 		c.h.log.Warn().Str("request", c.call.ID).Str("target", t.ID()).Int("bodies", end.bodies).Int("body", len(c.call.Body)).
 			Msg("health: target crashed under the size of its requests")
 		return
 	}
 	crash := poison.Crash{Boot: t.Boot(), Call: c.call.ID, Version: t.Version(), InOutage: loss.InOutage(), Phase: end.phase, Ran: end.ran, Progress: progress}
-	if c.h.poisonTracker.RecordOwnCrash(c.request, crash, clock.Now()) {
+	request := c.request
+	request.Running = end.running
+	if c.h.poisonTracker.RecordOwnCrash(request, crash, clock.Now()) {
 		c.h.notifyPeers()
 	}
 }
--- a/ingress/rate_limit.go
+++ b/ingress/rate_limit.go
@@ -122,6 +122,10 @@
 		return nil, errNoPermit
 	}
 	sentAt := clock.Now()
+	r.isQuarantined = func() bool {
+		_, ok := c.quarantined()
+		return ok
+	}
 	if err := r.MayWrite(); err != nil {
 		return nil, c.barred(r, err)
 	}
@@ -146,12 +150,12 @@
 	return reply, err
 }
 
-// barred logs an attempt that was not sent because its target was barred after it had been
-// selected, returns its permit, and returns the error.
+// barred logs an attempt that was not sent because its target was barred, or its request
+// quarantined, after the target had been selected, returns its permit, and returns the error.
 func (c *activeCall) barred(r *AttemptRequest, err error) error {
 	c.h.rateLimits.Return(r.Member.RateLimit(), r.Permit)
 	c.h.stats.barredAttempts.Inc(1)
-	c.h.log.Info().Str("request", c.call.ID).Str("target", r.Target.ID()).Err(err).Msg("ingress: attempt not sent; its target was barred after the selection")
+	c.h.log.Info().Str("request", c.call.ID).Str("target", r.Target.ID()).Err(err).Msg("ingress: attempt not sent; its target was barred, or its request quarantined, after the selection")
 	if errors.Is(err, upstream.ErrNotSent) {
 		return err
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -252,7 +252,7 @@
 	tooLong := parent.Err() == nil && s.judgeTooLong(member, now, err)
 	failedAtTarget := !tooLong && !errors.Is(resolved, upstream.ErrNotSent) && !errors.Is(err, errPanic) && !errors.Is(err, errNotAccepted)
 	if err != nil && parent.Err() == nil && failedAtTarget {
-		end := attemptEnd{member: member, startedAt: max(now, a.headReceivedAt), phase: poison.PhaseOf(a.headReceived, s.totalEvents), events: a.events, ran: clock.Now().Sub(now), bodies: member.Work().PeakBodies()}
+		end := attemptEnd{member: member, startedAt: max(now, a.headReceivedAt), phase: poison.PhaseOf(a.headReceived, s.totalEvents), events: a.events, ran: clock.Now().Sub(now), bodies: member.Work().PeakBodies(), running: s.h.poisonTracker.Running(s.request)}
 		go s.h.catchPanic(s.call.ID, func() { s.investigateCrash(end) })
 	}
 	if err == nil {
--- a/instance/crashes.go
+++ b/instance/crashes.go
@@ -30,16 +30,30 @@
 			i.writeCrashEdits(ctx, edits, n)
 			continue
 		}
-		select {
-		case <-more:
-		case <-cleanup.C:
-			i.poisonTracker.Expire(clock.Now())
-		case <-ctx.Done():
-		}
+		i.awaitCrashes(ctx, more, cleanup.C)
 	}
 	return nil
 }
 
+// awaitCrashes waits for records to be written, and meanwhile evaluates crashes that begin to count
+// and removes expired ones.
+func (i *Instance) awaitCrashes(ctx context.Context, more <-chan struct{}, cleanup <-chan time.Time) {
+	var due <-chan time.Time
+	if wait := i.poisonTracker.UntilDue(clock.Now()); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-more:
+	case <-due:
+		i.poisonTracker.EvaluateIfDue(clock.Now())
+	case <-cleanup:
+		i.poisonTracker.Expire(clock.Now())
+	case <-ctx.Done():
+	}
+}
+
 // batchSize returns the number of leading edits to write in one call: only writes or only
 // deletions, since a row may not be written and deleted in the same call.
 func batchSize(edits []poison.Edit) int {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -139,6 +139,7 @@
 	i.rollouts.Slack, i.rollouts.Instances = bounds.CanarySlack, i.instanceCount
 	i.rollouts.Self = rollout.Writer{Node: settings.Node(), Started: time.Now().UnixMilli()}
 	i.peers = exchange.New(settings.Node(), settings.Zone(), &i.targets, &i.cacheLocations, &i.poisonTracker, log)
+	i.poisonTracker.Instances, i.poisonTracker.OnVerdict = i.knownInstances, i.peers.SendNow
 	i.peers.TrackShares(&i.shares)
 	i.locations.cacheLocations = &i.cacheLocations
 	i.relay = &relay.Server{Tables: i.caches(), Draining: i.isDraining, SaveLocations: i.locations.addFromPeer, Log: log}
--- a/instance/rollouts.go
+++ b/instance/rollouts.go
@@ -93,6 +93,12 @@
 	return min(time.Duration(ahead)*rollout.TurnInterval, rollout.MaxTurn)
 }
 
+// knownInstances returns the number of instances that this one knows of, itself included.
+func (i *Instance) knownInstances() int {
+	count, _, _ := i.peers.InstanceCount()
+	return count
+}
+
 // instanceCount returns the number of instances. The second result is false if the number
 // is stale or this instance has only just started.
 func (i *Instance) instanceCount() (int, bool) {
--- a/poison/bystanders_test.go
+++ b/poison/bystanders_test.go
@@ -308,6 +308,11 @@
 func (sim *simulation) failOver(t *testing.T) (lostAttempts, attributions int) {
 	streams := sim.streams
 	sim.streams = nil
+	for _, s := range streams { // instances wait for what others find before they record a crash
+		if sim.targetLost(s) {
+			sim.tracker.RecordLoss(Loss{Service: "llm", Zone: fmt.Sprint(sim.targets[s.target].zone), Boot: bootOf(s), Targets: len(sim.targets)}, sim.clock())
+		}
+	}
 	for _, s := range streams {
 		if !sim.targetLost(s) {
 			gaveUp := s.untilPrefilled > 0 && sim.tracker.Status(requestOf(s.name), sim.clock()).Quarantined
@@ -319,7 +324,6 @@
 			}
 			continue
 		}
-		sim.tracker.RecordLoss(Loss{Service: "llm", Zone: fmt.Sprint(sim.targets[s.target].zone), Boot: bootOf(s), Targets: len(sim.targets)}, sim.clock())
 		loss := sim.observe(s)
 		attributed := loss.Counts()
 		if attributed {
@@ -329,7 +333,9 @@
 				crash.Phase = PhaseOf(s.untilPrefilled <= 0, s.eventCount()) // as instances do
 			}
 			crash.Call, crash.InOutage = fmt.Sprintf("%p", s), loss.InOutage()
-			sim.tracker.RecordCrash(crash, SourceOwn, sim.clock())
+			r := requestOf(s.name)
+			r.Running = []int{1 + sim.running(s.name)}
+			sim.tracker.RecordOwnCrash(r, crash, sim.clock())
 		}
 		quarantined := sim.tracker.Status(requestOf(s.name), sim.clock()).Quarantined
 		if !s.isPoison {
@@ -348,6 +354,17 @@
 	return lostAttempts, attributions
 }
 
+// running returns how many other attempts of a request are in progress.
+func (sim *simulation) running(name string) int {
+	n := 0
+	for _, s := range sim.streams {
+		if s.name == name {
+			n++
+		}
+	}
+	return n
+}
+
 // bootOf returns the boot that an attempt was sent to.
 func bootOf(s *simulatedStream) ragworthitch.Boot {
 	return ragworthitch.NewBoot(fmt.Sprint("t", s.target, "-", s.boot), 0)
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -41,8 +41,7 @@
 
 type (
 	// Phase is how far an attempt has come. A crash in the phase Begun is strong evidence
-	// against the request, and weak evidence otherwise: many requests at a target are in the
-	// other phases.
+	// against the request, as few requests at a target are in it.
 	Phase uint8
 
 	// Progress is how many events of an answer a call has got.
@@ -76,6 +75,12 @@
 		// Furthest is how far any recent call with the request had, at the instance that
 		// observed the crash.
 		Progress, Furthest Progress
+		// Weight is what the crash says against the request or part, as the instance that
+		// observed it has measured (Tracker.measure); 0: not measured.
+		Weight float64
+		// Verdict means that an instance has quarantined the request or part by this crash and
+		// others. It binds all instances, whatever else they know.
+		Verdict bool
 	}
 
 	// LossObservation is what an instance observed when an attempt lost its target.
--- a/poison/losses.go
+++ b/poison/losses.go
@@ -18,19 +18,7 @@
 	// earlyPeriod is the time of an attempt in which a crash is strong evidence against its
 	// request.
 	earlyPeriod = 100 * time.Millisecond
-	// maxChanceProbability bounds the probability that independent crashes alone
-	// quarantine a request; a fleet has some 10^9 requests a day.
-	maxChanceProbability = 1e-10
-	// maxWeakChanceProbability is the same for weak evidence. It is larger because a verdict by
-	// chance rejects a call that has lost minCrashThreshold targets already.
-	maxWeakChanceProbability = 1e-6
-	// maxCrashThreshold is enough crashes at any rate of independent crashes, so that
-	// poison requests are stopped even where targets crash all the time.
-	maxCrashThreshold = 5
-	// maxWeakCrashThreshold is the same for weak evidence, which counts for every target that a
-	// stream loses.
-	maxWeakCrashThreshold = 6
-	// minLossPeriod is the least time from which weak evidence takes the rate of crashes.
+	// minLossPeriod is the least time from which the rate of crashes is taken.
 	minLossPeriod = 10 * time.Second
 	maxLosses     = 1024
 )
@@ -56,13 +44,13 @@
 	// independentLosses are the recent losses of a service that were no part of an outage.
 	independentLosses struct {
 		boots   []ragworthitch.Boot
-		targets int           // of the service
-		period  time.Duration // since the first of them
+		targets int           // of the service; 0: no target of it was lost
+		period  time.Duration // since the first of them, and minLossPeriod at least
 	}
 )
 
-// RecordLoss records the loss of a target. The more targets are lost independently of any
-// young request, the more crashes it takes to quarantine one.
+// RecordLoss records the loss of a target. The more targets are lost elsewhere, the less the
+// crash of a target says against what ran there.
 func (t *Tracker) RecordLoss(l Loss, now clock.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -89,10 +77,22 @@
 	ls.entries = ls.entries[expired:]
 }
 
+// countSince returns the number of targets of a service that were lost since a time, without
+// excluded ones.
+func (ls *lossTable) countSince(service string, since clock.Time, isExcluded func(ragworthitch.Boot) bool) int {
+	n := 0
+	for _, l := range ls.entries {
+		if l.Service == service && l.at >= since && !isExcluded(l.Boot) {
+			n++
+		}
+	}
+	return n
+}
+
 // independent returns the recent losses of a service without those in an outage.
 func (ls *lossTable) independent(service string, now clock.Time) independentLosses {
 	ls.prune(now)
-	out := independentLosses{targets: 1}
+	out := independentLosses{period: minLossPeriod}
 	for i, l := range ls.entries {
 		if l.Service != service {
 			continue
@@ -106,16 +106,15 @@
 	return out
 }
 
-// rate returns the losses per target and second in a period, without those that are explained
-// otherwise.
-func (l independentLosses) rate(period time.Duration, isExplained func(ragworthitch.Boot) bool) float64 {
+// without returns the number of losses without those of some boots.
+func (l independentLosses) without(isExcluded func(ragworthitch.Boot) bool) int {
 	n := 0
 	for _, boot := range l.boots {
-		if !isExplained(boot) {
+		if !isExcluded(boot) {
 			n++
 		}
 	}
-	return float64(n) / float64(l.targets) / period.Seconds()
+	return n
 }
 
 // isInOutage reports whether the loss at an index was part of a zone outage.
@@ -129,15 +128,3 @@
 	}
 	return others >= outageThreshold
 }
-
-// crashThreshold returns how many targets have to crash under a request until it is
-// quarantined. rate is that of independent crashes, per target and second, and exposure the
-// time of an attempt in which a crash counts. maxChance bounds the probability that such
-// crashes alone quarantine a request, up to most crashes.
-func crashThreshold(rate float64, exposure time.Duration, maxChance float64, most int) int {
-	n := minCrashThreshold
-	for n < most && math.Pow(rate*exposure.Seconds(), float64(n)) > maxChance {
-		n++
-	}
-	return n
-}
--- a/poison/request.go
+++ b/poison/request.go
@@ -25,6 +25,9 @@
 		Fingerprint  Fingerprint // of the whole request
 		Parts        []Part      // of the prompt; other prompts may have them too
 		Org, Service string
+		// Running are the numbers of calls in progress at this instance with the request, and
+		// with each part, when its target was lost; nil: unknown.
+		Running []int
 	}
 
 	// Part is a part of a prompt, or a pair of them, which may crash targets only together.
@@ -55,6 +58,22 @@
 	return out
 }
 
+// partID returns the id of the part of the nth of the fingerprints; empty: it is the request's.
+func (r Request) partID(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return r.Parts[n-1].ID
+}
+
+// running returns the calls in progress with the nth of the fingerprints, this one included.
+func (r Request) running(n int) int {
+	if n >= len(r.Running) {
+		return 1
+	}
+	return max(1, r.Running[n])
+}
+
 func (r Request) partFingerprints() []Fingerprint { return r.fingerprints()[1:] }
 
 // Parts returns the parts with the given ids, each once and without empty ids, and the pairs
--- a/poison/rows.go
+++ b/poison/rows.go
@@ -100,6 +100,12 @@
 // queueEdit queues a write to the store; t.mu is held.
 func (t *Tracker) queueEdit(e Edit) {
 	t.pendingEdits = append(t.pendingEdits, e)
+	t.wakeWriter()
+}
+
+// wakeWriter wakes who waits for edits, as there are some or crashes will begin to count; t.mu is
+// held.
+func (t *Tracker) wakeWriter() {
 	if t.editQueued != nil {
 		close(t.editQueued)
 		t.editQueued = nil
@@ -107,7 +113,7 @@
 }
 
 // TakeEdits removes and returns the pending writes in their order, and a channel that is
-// closed when more are queued.
+// closed when more are queued, or crashes will begin to count.
 func (t *Tracker) TakeEdits() ([]Edit, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,8 +184,10 @@
 			t.applyDeletion(r.RowKey)
 		default:
 			if t.addCrash(r.Crash, SourceStore, now) {
-				t.suspects[r.Fingerprint].crashes[r.Boot].inSnapshot = inSnapshot
-				t.crashLog.add(loggedCrash{r.Crash, now})
+				s := t.suspects[r.Fingerprint]
+				s.crashes[r.Boot].inSnapshot = inSnapshot
+				s.unreported = append(s.unreported, loggedCrash{s.crashes[r.Boot].Crash, now})
+				t.reportCrashes(s)
 			}
 		}
 	}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -21,6 +21,10 @@
 	// reported to peers and written to the store: all streams at a target that crashes have one,
 	// and each peer reports to others what is new to it.
 	minSharedWeakCrashes = 2
+	// maxFirstCrashes bounds the first crashes of suspects that an instance stores of one
+	// target, and maxStoredLosses is the number of lost targets of a service up to which it does.
+	maxFirstCrashes = 16
+	maxStoredLosses = 2
 	// maxReleasedBoots bounds the crashes of one suspect that are known not to count.
 	maxReleasedBoots = 1024
 )
@@ -51,6 +55,11 @@
 		Scope tally.Scope // nil: no metrics
 		// DryRun records and reports crashes but quarantines no request.
 		DryRun bool
+		// Instances returns the number of entry instances; nil: one.
+		Instances func() int
+		// OnVerdict is called when peers have to learn of a verdict; nil: not at all. It must not
+		// call the Tracker.
+		OnVerdict func()
 
 		suspectCount atomic.Int32 // len(suspects), read without the lock
 		mu           sync.Mutex
@@ -79,9 +88,6 @@
 		unreported      []loggedCrash // crashes that the log for peers does not have
 		quarantined     bool
 		contested       bool  // other requests had just begun at targets that crashed
-		threshold       int   // crashes with strong evidence that quarantine the suspect, at the last evaluation
-		weakThreshold   int   // crashes that do with weak evidence; 0: not determined
-		byWeak          bool  // strong evidence alone is not enough
 		loggedCrashes   int   // crashes at the last log line about a verdict
 		probes          int   // since the quarantine
 		probeRowVersion int64 // of the store's row that counts the probes; 0: no row
@@ -104,6 +110,7 @@
 		*suspect
 		crashes []*crashRecord
 		strong  int // crashes with strong evidence
+		calls   int // that met the crashes
 		ranWell int // crashes before which the request, or prompts with the part, had run well
 	}
 
@@ -230,6 +237,18 @@
 	}
 }
 
+// Running returns how many calls wait for the quarantine of a request, and of each of its parts, the
+// caller's own included.
+func (t *Tracker) Running(r Request) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []int
+	for _, f := range r.fingerprints() {
+		out = append(out, 1+len(t.waiters[f]))
+	}
+	return out
+}
+
 // forgetWaiter removes a waiter; t.mu is held.
 func (t *Tracker) forgetWaiter(w *waiter) {
 	for _, f := range w.request.fingerprints() {
@@ -254,28 +273,45 @@
 // request and against each part of its prompt. c has the other data of the crash. It reports
 // whether peers have to learn of it.
 func (t *Tracker) RecordOwnCrash(r Request, c Crash, now clock.Time) bool {
-	c.Fingerprint, c.Org, c.Service = r.Fingerprint, r.Org, r.Service
-	crashes := []Crash{c}
-	for _, p := range r.Parts {
-		if c.isWeak() && isPair(p.ID) {
-			continue // weak evidence counts against single parts only
+	c.Org, c.Service = r.Org, r.Service
+	var crashes []Crash
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, f := range r.fingerprints() {
+		c.Fingerprint, c.Part = f, r.partID(i)
+		if c.isWeak() && isPair(c.Part) {
+			continue // evidence that all streams at the target have counts against single parts only
+		}
+		if c.InOutage && c.isWeak() && r.running(i) < 2 && t.lostElsewhere(c, now) > maxStoredLosses+1 && t.suspects[f] == nil {
+			continue // one stream of many that end with the zone
 		}
-		c.Fingerprint, c.Part = p.Fingerprint, p.ID
+		c.Weight = t.measure(c, r.running(i), now)
 		crashes = append(crashes, c)
 	}
-	return t.RecordCrashes(crashes, SourceOwn, now)
+	return t.recordCrashes(crashes, SourceOwn, now)
 }
 
-// RecordCrash is like RecordCrashes for one crash.
+// RecordCrash records one crash that this instance observed or a peer reported. It reports
+// whether peers have to learn of it.
 func (t *Tracker) RecordCrash(c Crash, source Source, now clock.Time) bool {
-	return t.RecordCrashes([]Crash{c}, source, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if source == SourceOwn {
+		c.Weight = t.measure(c, 1, now)
+	}
+	return t.recordCrashes([]Crash{c}, source, now)
 }
 
-// RecordCrashes records crashes that this instance observed or a peer reported. It reports
-// whether peers have to learn of any.
+// RecordCrashes records crashes that a peer reported. It reports whether peers have to learn of
+// any.
 func (t *Tracker) RecordCrashes(crashes []Crash, source Source, now clock.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordCrashes(crashes, source, now)
+}
+
+// recordCrashes records crashes and reports whether peers have to learn of any; t.mu is held.
+func (t *Tracker) recordCrashes(crashes []Crash, source Source, now clock.Time) bool {
 	anyNews, mayDecide := false, false
 	for _, c := range crashes {
 		if source == SourceOwn && (c.Part == "" || c.isWeak()) {
@@ -285,14 +321,17 @@
 			t.recordProgress(c, now)
 			c.Furthest = t.furthest(c, now)
 		}
-		goesFurther, isNew := t.extendProgress(c), t.addCrash(c, source, now)
-		s := t.suspects[c.Fingerprint]
-		if goesFurther || isNew {
-			s.unreported = append(s.unreported, loggedCrash{c, now.Add(-c.Age)})
-			anyNews = t.reportCrashes(s) || anyNews
+		if !t.addCrash(c, source, now) {
+			continue
 		}
-		if isNew {
-			mayDecide = mayDecide || !c.isWeak() || len(s.crashes) >= minCrashThreshold
+		s := t.suspects[c.Fingerprint]
+		s.unreported = append(s.unreported, loggedCrash{s.crashes[c.Boot].Crash, now.Add(-c.Age)})
+		anyNews = t.reportCrashes(s) || anyNews
+		mayDecide = mayDecide || !c.isWeak() || c.Verdict || len(s.crashes) >= minCrashThreshold
+		if source == SourceOwn && len(s.crashes) == 1 {
+			t.storeFirstCrash(s, s.crashes[c.Boot], now)
+		} else {
+			t.storeCrashes(s, now)
 		}
 	}
 	if mayDecide {
@@ -304,8 +343,8 @@
 // reportCrashes adds the suspect's crashes that peers do not know yet to the log for peers, and
 // reports whether there are any. A single crash with weak evidence stays here; t.mu is held.
 func (t *Tracker) reportCrashes(s *suspect) bool {
-	isStrong := func(c loggedCrash) bool { return !c.isWeak() }
-	if len(s.crashes) < minSharedWeakCrashes && !slices.ContainsFunc(s.unreported, isStrong) {
+	isUrgent := func(c loggedCrash) bool { return !c.isWeak() || c.Verdict }
+	if len(s.crashes) < minSharedWeakCrashes && !slices.ContainsFunc(s.unreported, isUrgent) {
 		return false
 	}
 	for _, c := range s.unreported {
@@ -315,19 +354,6 @@
 	return true
 }
 
-// extendProgress records that another call at a target whose crash is known had come further, and
-// reports whether this is news for other instances; t.mu is held.
-func (t *Tracker) extendProgress(c Crash) bool {
-	s := t.suspects[c.Fingerprint]
-	if s == nil || s.crashes[c.Boot] == nil || s.part != "" {
-		return false
-	}
-	known := s.crashes[c.Boot]
-	isNews := isPast(c.Progress.Total, known.Progress.Total) || isPast(c.Progress.Attempt, known.Progress.Attempt)
-	known.Progress, known.Furthest = known.Progress.max(c.Progress), known.Furthest.max(c.Furthest)
-	return isNews
-}
-
 // storeCrashes queues the crashes that this instance observed, and that count, for the
 // store; t.mu is held.
 func (t *Tracker) storeCrashes(s *suspect, now clock.Time) {
@@ -336,13 +362,39 @@
 		if c.isWeak() && len(counted) < minSharedWeakCrashes {
 			continue
 		}
-		if c.observedHere && !c.storeQueued && len(s.crashes) <= maxStoredCrashes {
-			c.storeQueued = true
-			t.queueEdit(Edit{Crash: c.Crash})
+		if c.observedHere && len(s.crashes) <= maxStoredCrashes {
+			t.storeCrash(c)
 		}
 	}
 }
 
+// storeFirstCrash queues the first crash with weak evidence against a suspect that has not run well
+// lately, so that it outlives this instance. After the loss of many targets, most of what
+// ran there has such a crash, and none is stored; t.mu is held.
+func (t *Tracker) storeFirstCrash(s *suspect, c *crashRecord, now clock.Time) {
+	if !c.isWeak() || c.InOutage || c.SoundBefore || t.losses.countSince(s.service, now.Add(-OutageWindow), t.isExplained) > maxStoredLosses {
+		return
+	}
+	stored := 0
+	for _, o := range t.suspects {
+		if other := o.crashes[c.Boot]; other != nil && other.storeQueued {
+			stored++
+		}
+	}
+	if stored < maxFirstCrashes {
+		t.storeCrash(c)
+	}
+}
+
+// storeCrash queues a crash for the store, once; t.mu is held.
+func (t *Tracker) storeCrash(c *crashRecord) {
+	if c.storeQueued {
+		return
+	}
+	c.storeQueued = true
+	t.queueEdit(Edit{Crash: c.Crash})
+}
+
 // addCrash adds a crash and reports whether it was unknown; t.mu is held.
 func (t *Tracker) addCrash(c Crash, source Source, now clock.Time) bool {
 	if t.released[c.Fingerprint].boots[c.Boot] {
@@ -368,12 +420,7 @@
 	}
 	if known := s.crashes[c.Boot]; known != nil {
 		known.stored = known.stored || source == SourceStore
-		if !known.isWeak() || c.isWeak() {
-			return false
-		}
-		c.Progress, c.Furthest = known.Progress, known.Furthest
-		known.Crash = c // of another attempt there
-		return true
+		return known.merge(c)
 	}
 	s.crashes[c.Boot] = &crashRecord{Crash: c, at: at, knownAt: now, observedHere: source == SourceOwn, stored: source == SourceStore}
 	s.updatedAt = now
@@ -384,6 +431,26 @@
 	return true
 }
 
+// merge adds what another attempt at the target, or another instance, says of a crash, and reports
+// whether that is news.
+func (k *crashRecord) merge(c Crash) bool {
+	isNews := c.Verdict && !k.Verdict || c.SoundBefore && !k.SoundBefore
+	c.Verdict, c.SoundBefore, c.RecentSuccesses = c.Verdict || k.Verdict, c.SoundBefore || k.SoundBefore, max(c.RecentSuccesses, k.RecentSuccesses)
+	if c.Part == "" {
+		isNews = isNews || isPast(c.Progress.Total, k.Progress.Total) || isPast(c.Progress.Attempt, k.Progress.Attempt)
+		c.Progress, c.Furthest = c.Progress.max(k.Progress), c.Furthest.max(k.Furthest)
+	}
+	if c.Weight == 0 || k.Weight != 0 && k.Weight < c.Weight {
+		c.Weight = k.Weight
+	}
+	if k.isWeak() && !c.isWeak() {
+		k.Crash = c
+		return true
+	}
+	k.Weight, k.Verdict, k.SoundBefore, k.RecentSuccesses, k.Progress, k.Furthest = c.Weight, c.Verdict, c.SoundBefore, c.RecentSuccesses, c.Progress, c.Furthest
+	return isNews
+}
+
 // releaseOf returns the record of the crashes that don't count any more, to add some; t.mu
 // is held.
 func (t *Tracker) releaseOf(f Fingerprint, now clock.Time) release {
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -32,9 +32,6 @@
 	// weakReportTime is the same for crashes with weak evidence, which many requests have at
 	// once. It covers the time in which instances confirm that a target is lost.
 	weakReportTime = 700 * time.Millisecond
-	// minWeakPartThreshold is the least number of crashed targets that quarantines a part by
-	// weak evidence: calls with a part are at several targets by chance.
-	minWeakPartThreshold = 4
 )
 
 type (
@@ -44,9 +41,6 @@
 		ranked           []countedSuspect
 		now              clock.Time
 		quarantinedByOrg map[string]int                    // requests
-		strong           map[ragworthitch.Boot]bool        // boots with strong evidence against any suspect
-		thresholds       map[string]int                    // for strong evidence, by service
-		losses           map[string]independentLosses      // by service
 		explanations     map[ragworthitch.Boot]explanation // the best quarantined suspect that ran there
 	}
 
@@ -55,38 +49,55 @@
 		crashes     int  // of the suspect, that count; 0: there is no explanation
 		weak        bool // there is weak evidence for it
 		soundBefore bool
-		pair        bool          // the suspect is a pair of parts
-		ran         time.Duration // the longest of the attempts that ended with a crash
+		pair        bool // the suspect is a pair of parts
 	}
 )
 
-// evaluate decides which suspects are quarantined. It starts with the suspects that have
-// the most crashes with strong evidence: a target's crash is not attributed to a suspect if a
-// quarantined one that explains it better ran there too. t.mu is held.
+// evaluate decides which suspects are quarantined. It starts with the suspects that have the most crashes with strong evidence: a
+// target's crash is not attributed to a suspect if a quarantined one that explains it better
+// ran there too. t.mu is held.
 func (t *Tracker) evaluate(now clock.Time) {
 	ranked := t.rank(now)
-	e := evaluation{tracker: t, ranked: ranked, now: now, quarantinedByOrg: map[string]int{}, strong: map[ragworthitch.Boot]bool{}, thresholds: map[string]int{}, losses: map[string]independentLosses{},
-		explanations: map[ragworthitch.Boot]explanation{}}
+	e := evaluation{tracker: t, ranked: ranked, now: now, quarantinedByOrg: map[string]int{}, explanations: map[ragworthitch.Boot]explanation{}}
 	for _, s := range ranked {
 		if s.quarantined && s.part == "" {
 			e.quarantinedByOrg[s.org]++
 		}
-		for _, c := range s.crashes {
-			if !c.isWeak() {
-				e.strong[c.Boot] = true
-			}
-		}
 	}
+	isNews := false
 	for _, s := range ranked {
-		quarantined := !t.DryRun && e.judge(s) && !t.mostlySucceeds(s, now)
+		quarantined := !t.DryRun && (e.upholdsVerdict(s) || e.judge(s) && !t.mostlySucceeds(s, now))
 		if quarantined {
 			e.addExplanations(s)
+			isNews = t.recordVerdict(s, now) || isNews
 		}
 		t.setQuarantined(s.suspect, quarantined, now)
 		t.logVerdict(&e, s)
 		t.storeCrashes(s.suspect, now)
 	}
 	t.scheduleEvaluation(now)
+	if isNews && t.OnVerdict != nil {
+		t.OnVerdict()
+	}
+}
+
+// recordVerdict records a verdict that this instance has reached in the suspect's last crash, for
+// the store and the peers, once these have had the time to report other requests at the
+// targets. It reports whether the verdict was unknown; t.mu is held.
+func (t *Tracker) recordVerdict(s countedSuspect, now clock.Time) bool {
+	var last *crashRecord
+	for _, c := range s.crashes {
+		if c.Verdict || now.Sub(c.knownAt) < reportTime {
+			return false
+		}
+		if last == nil || c.at > last.at || c.at == last.at && c.Boot.ID() < last.Boot.ID() {
+			last = c
+		}
+	}
+	last.Verdict, last.storeQueued = true, true
+	t.queueEdit(Edit{Crash: last.Crash})
+	s.unreported = append(s.unreported, loggedCrash{last.Crash, last.at})
+	return t.reportCrashes(s.suspect)
 }
 
 // logVerdict logs, for each further crash of a suspect from minCrashThreshold on, what this
@@ -96,150 +107,83 @@
 		return
 	}
 	s.loggedCrashes = len(s.suspect.crashes)
+	n, weight := e.attributed(s)
 	s.describe(t.Log.Info()).Bool("quarantined", s.quarantined).Int("deaths", len(s.suspect.crashes)).Int("counted", len(s.crashes)).Int("strong", s.strong).
-		Int("settled", len(s.settled(e.now))).Int("unexplained", s.attributed(e, true)).Int("threshold", s.threshold).Int("weakThreshold", s.weakThreshold).
-		Bool("leads", e.leads(s)).Int("ranWellLately", t.recentSuccesses(s.suspect, e.now)).Msg("poison: verdict")
+		Int("attributed", n).Float64("weight", weight).Bool("leads", e.leads(s)).Int("ranWellLately", t.recentSuccesses(s.suspect, e.now)).Msg("poison: verdict")
 }
 
-// judge reports whether the crashes of a suspect are enough to quarantine it: those with
-// strong evidence, or all.
-func (e *evaluation) judge(s countedSuspect) bool {
-	threshold := e.threshold(s)
-	if s.quarantined && s.threshold > 0 {
-		threshold = min(threshold, s.threshold)
-	}
-	s.threshold = threshold
-	s.byWeak = false
-	if s.attributed(e, false) >= threshold {
-		return true
-	}
-	s.byWeak = true
-	if len(s.crashes) < minCrashThreshold || !slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.isWeak() }) {
-		return false
-	}
-	weakThreshold := e.weakThreshold(s)
-	if s.quarantined && s.weakThreshold > 0 {
-		weakThreshold = min(weakThreshold, s.weakThreshold)
-	}
-	s.weakThreshold = weakThreshold
-	return s.attributed(e, true) >= weakThreshold && (s.quarantined || e.leads(s))
-}
-
-// leads reports whether no other request, or part, was at all targets that crashed under a
-// suspect, with more evidence against it. With as much evidence, which does not tell the two
-// apart, the suspect leads from maxWeakCrashThreshold crashes on.
-func (e *evaluation) leads(s countedSuspect) bool {
-	settled := s.settled(e.now)
-	for _, o := range e.ranked {
-		if o.suspect == s.suspect || len(o.crashes) < len(settled) || (o.part == "") != (s.part == "") || !o.covers(settled) {
-			continue
-		}
-		evidence := e.compareEvidence(o, s)
-		if evidence > 0 || evidence == 0 && len(settled) < maxWeakCrashThreshold {
-			return false
-		}
-	}
-	return true
+// upholdsVerdict reports whether an instance has quarantined the suspect by a crash that no other
+// suspect explains better.
+func (e *evaluation) upholdsVerdict(s countedSuspect) bool {
+	return slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.Verdict && !e.explainsBetter(s, c) })
 }
 
-// compareEvidence compares two suspects by the number of their crashes. With equally many there
-// is more evidence against the request with fewer crashes at points of the answer that other
-// calls passed, then against the one that more calls had, as a bystander mostly meets the
-// crashes in one call, and against the part that has run less often beside its crashes.
-func (e *evaluation) compareEvidence(x, y countedSuspect) int {
-	xs, ys := x.settled(e.now), y.settled(e.now)
-	if n := cmp.Compare(len(xs), len(ys)); n != 0 {
-		return n
-	}
-	if x.part == "" {
-		return cmp.Or(cmp.Compare(e.contradicted(ys), e.contradicted(xs)), cmp.Compare(callCount(xs), callCount(ys)))
+// judge reports whether the crashes of a suspect are enough to quarantine it.
+func (e *evaluation) judge(s countedSuspect) bool {
+	n, weight := e.attributed(s)
+	if s.part == "" && s.strong > 0 && n > 0 && e.quarantinedByOrg[s.org] >= strictOrgQuarantines && !e.tracker.hasBystanders(s.suspect) {
+		return true
 	}
-	return cmp.Compare(e.tracker.recentSuccesses(y.suspect, e.now), e.tracker.recentSuccesses(x.suspect, e.now))
-}
-
-// contradicted returns how many crashes of a suspect came at points of the answer that other
-// calls passed.
-func (e *evaluation) contradicted(crashes []*crashRecord) int {
-	var furthest Progress
-	for _, c := range crashes {
-		furthest = furthest.max(e.tracker.furthest(c.Crash, e.now))
+	if weight >= max(verdictWeight, minMeanWeight*float64(n)) {
+		return n >= minCrashThreshold && !e.isOutnumbered(s)
 	}
-	n := 0
-	for _, c := range crashes {
-		if c.isContradicted(furthest) {
-			n++
-		}
+	if s.ranWell > 0 && n < 2*maxCrashes {
+		return false
 	}
-	return n
+	return n >= leadCrashes && (n >= maxCrashes || e.isAtMostLosses(s)) && e.leads(s)
 }
 
-// callCount returns the number of calls that met the crashes.
-func callCount(crashes []*crashRecord) int {
-	calls := map[string]bool{}
-	for _, c := range crashes {
-		calls[c.Call] = true
-	}
-	return len(calls)
+// isAtMostLosses reports whether the suspect was at most targets of its service that were lost
+// lately, without outages.
+func (e *evaluation) isAtMostLosses(s countedSuspect) bool {
+	losses := e.tracker.losses.independent(s.service, e.now)
+	elsewhere := losses.without(func(boot ragworthitch.Boot) bool { return s.suspect.crashes[boot] != nil })
+	return float64(elsewhere) <= maxLossesElsewhere*float64(len(s.crashes))
 }
 
-// settled returns the crashes that have been known for weakReportTime.
-func (s countedSuspect) settled(now clock.Time) []*crashRecord {
-	return slices.DeleteFunc(slices.Clone(s.crashes), func(c *crashRecord) bool { return now.Sub(c.knownAt) < c.weakSettleTime() })
+// isOutnumbered reports whether a single call met the crashes, with evidence that all streams at a
+// target have, and several calls with something else met them as well: a bystander that goes on
+// from target to target meets crashes in one call.
+func (e *evaluation) isOutnumbered(s countedSuspect) bool {
+	return s.strong < minCrashThreshold && s.calls == 1 && slices.ContainsFunc(e.ranked, func(o countedSuspect) bool { return o.calls > 1 && e.isRival(o, s) })
 }
 
-// covers reports whether the suspect was at all targets that crashed.
-func (s countedSuspect) covers(crashes []*crashRecord) bool {
-	for _, c := range crashes {
-		if s.suspect.crashes[c.Boot] == nil {
-			return false
-		}
-	}
-	return true
+// leads reports whether no other request, or part, was at all targets that crashed under a
+// suspect, and is quarantined, was at more of them or has as much evidence against it.
+func (e *evaluation) leads(s countedSuspect) bool {
+	return !slices.ContainsFunc(e.ranked, func(o countedSuspect) bool {
+		isSuspicious := o.calls >= min(2, s.calls) && (o.ranWell == 0 || s.ranWell > 0)
+		return isSuspicious && e.isRival(o, s) && (o.quarantined || len(o.crashes) > len(s.crashes) || o.weight() >= s.weight())
+	})
 }
 
-// threshold returns how many crashes with strong evidence quarantine a suspect.
-func (e *evaluation) threshold(s countedSuspect) int {
-	t := e.tracker
-	if s.part == "" && e.quarantinedByOrg[s.org] >= strictOrgQuarantines && !t.hasBystanders(s.suspect) {
-		return 1
-	}
-	if s.part != "" && slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.InOutage }) {
-		return maxCrashThreshold // calls with a part are at several targets of a zone by chance
-	}
-	threshold, ok := e.thresholds[s.service]
-	if !ok {
-		rate := e.independentLosses(s.service).rate(lossWindow, func(boot ragworthitch.Boot) bool { return e.strong[boot] })
-		threshold = crashThreshold(rate, earlyPeriod, maxChanceProbability, maxCrashThreshold)
-		e.thresholds[s.service] = threshold
+// isRival reports whether another request, or part, was at all targets that crashed under a
+// suspect, as far as these have been known for long enough. A part is no rival of a request that
+// has it.
+func (e *evaluation) isRival(o, s countedSuspect) bool {
+	if o.suspect == s.suspect || isPair(o.part) || o.part != "" && s.part == "" && o.sharesCall(s) {
+		return false
 	}
-	return threshold
+	return !slices.ContainsFunc(s.crashes, func(c *crashRecord) bool {
+		return e.now.Sub(c.knownAt) >= max(reportTime, s.settleTime(c)) && o.suspect.crashes[c.Boot] == nil
+	})
 }
 
-// independentLosses returns the recent losses of a service that were no part of an outage.
-func (e *evaluation) independentLosses(service string) independentLosses {
-	losses, ok := e.losses[service]
-	if !ok {
-		losses = e.tracker.losses.independent(service, e.now)
-		e.losses[service] = losses
-	}
-	return losses
+// sharesCall reports whether the same call met one of the crashes under both suspects.
+func (s countedSuspect) sharesCall(o countedSuspect) bool {
+	return slices.ContainsFunc(s.crashes, func(c *crashRecord) bool {
+		other := o.suspect.crashes[c.Boot]
+		return other != nil && other.Call == c.Call
+	})
 }
 
-// weakThreshold returns how many crashes quarantine a suspect if evidence against it is weak.
-// The longer its attempts ran, the more crashes it meets by chance.
-func (e *evaluation) weakThreshold(s countedSuspect) int {
-	inOutage := slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.InOutage })
-	if s.part != "" && inOutage {
-		return maxCrashThreshold
-	}
-	isExplained := func(boot ragworthitch.Boot) bool { return e.strong[boot] || s.suspect.crashes[boot] != nil }
-	losses := e.independentLosses(s.service)
-	rate := losses.rate(max(losses.period, minLossPeriod), isExplained)
-	threshold := crashThreshold(rate, max(earlyPeriod, s.longestRun()), maxWeakChanceProbability, maxWeakCrashThreshold)
-	if s.part != "" {
-		return max(threshold, minWeakPartThreshold)
+// weight returns what all crashes that count say against the suspect.
+func (s countedSuspect) weight() float64 {
+	sum := 0.0
+	for _, c := range s.crashes {
+		sum += c.weight()
 	}
-	return threshold
+	return sum
 }
 
 // addExplanations records a quarantined suspect as the cause of its crashes.
@@ -269,7 +213,9 @@
 // newCountedSuspect counts the crashes of a suspect.
 func newCountedSuspect(s *suspect, now clock.Time) countedSuspect {
 	out := countedSuspect{suspect: s, crashes: s.countedCrashes(now)}
+	calls := map[string]bool{}
 	for _, c := range out.crashes {
+		calls[c.Call] = true
 		if !c.isWeak() {
 			out.strong++
 		}
@@ -277,32 +223,44 @@
 			out.ranWell++
 		}
 	}
+	out.calls = len(calls)
 	return out
 }
 
-// longestRun returns the longest time that an attempt ran before its target crashed.
-func (s countedSuspect) longestRun() time.Duration {
-	longest := time.Duration(0)
+// attributed returns how many crashes no quarantined suspect explains better, and what they
+// say. Those of a contested request have been known for reportTime, and those with weak
+// evidence for weakReportTime.
+func (e *evaluation) attributed(s countedSuspect) (n int, weight float64) {
+	furthest := e.furthest(s)
 	for _, c := range s.crashes {
-		longest = max(longest, c.Ran)
+		if e.now.Sub(c.knownAt) < s.settleTime(c) || e.explainsBetter(s, c) {
+			continue
+		}
+		n++
+		if c.isContradicted(furthest) {
+			weight += contradictedShare * c.weight()
+		} else {
+			weight += c.weight()
+		}
 	}
-	return longest
+	return n, weight
 }
 
-// attributed returns how many crashes no quarantined suspect explains better: those with
-// strong evidence or, with withWeak, all. Those of a contested request have been known for
-// reportTime, and those with weak evidence for weakReportTime.
-func (s countedSuspect) attributed(e *evaluation, withWeak bool) int {
-	n := 0
+// furthest returns how far any call with a request had come; of a part that is not known.
+func (e *evaluation) furthest(s countedSuspect) Progress {
+	var furthest Progress
+	if s.part != "" {
+		return furthest
+	}
 	for _, c := range s.crashes {
-		if c.isWeak() && !withWeak || e.now.Sub(c.knownAt) < s.settleTime(c) {
-			continue
-		}
-		if !e.explanations[c.Boot].isBetterThan(s.explain(c)) {
-			n++
-		}
+		furthest = furthest.max(e.tracker.furthest(c.Crash, e.now))
 	}
-	return n
+	return furthest
+}
+
+// explainsBetter reports whether a quarantined suspect explains a crash better than s does.
+func (e *evaluation) explainsBetter(s countedSuspect, c *crashRecord) bool {
+	return e.explanations[c.Boot].isBetterThan(s.explain(c))
 }
 
 // settleTime returns how long a crash has to be known before it counts, so that the other
@@ -328,12 +286,11 @@
 
 // explain returns the suspect as the cause of one of its crashes.
 func (s countedSuspect) explain(c *crashRecord) explanation {
-	return explanation{crashes: len(s.crashes), weak: s.byWeak || c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part), ran: s.longestRun()}
+	return explanation{crashes: len(s.crashes), weak: c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part)}
 }
 
 // isBetterThan reports whether e explains a crash better than o: with strong evidence, under
-// more crashes or, with equally many, without sound runs before, as one part rather than a
-// pair or, by weak evidence, sooner after the start of its attempts.
+// more crashes or, with equally many, without sound runs before or as one part rather than a pair.
 func (e explanation) isBetterThan(o explanation) bool {
 	switch {
 	case e.crashes == 0 || o.crashes == 0:
@@ -344,10 +301,8 @@
 		return e.crashes > o.crashes
 	case e.soundBefore != o.soundBefore:
 		return o.soundBefore
-	case e.pair != o.pair:
-		return o.pair
 	}
-	return e.weak && e.ran < o.ran
+	return !e.pair && o.pair
 }
 
 // mostlySucceeds reports whether a request succeeds so often that it is at every target
@@ -401,21 +356,45 @@
 	}
 }
 
+// EvaluateIfDue evaluates the suspects anew if crashes have begun to count.
+func (t *Tracker) EvaluateIfDue(now clock.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evaluateIfDue(now)
+}
+
+// UntilDue returns the time until crashes begin to count; 0: none will.
+func (t *Tracker) UntilDue(now clock.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.evaluateAt == 0 {
+		return 0
+	}
+	return max(time.Millisecond, t.evaluateAt.Sub(now))
+}
+
 // scheduleEvaluation sets when the next crash of a suspect that has enough of them begins to
 // count; t.mu is held.
 func (t *Tracker) scheduleEvaluation(now clock.Time) {
 	t.evaluateAt = 0
 	for _, s := range t.suspects {
-		if !s.contested && len(s.crashes) < minCrashThreshold {
+		if !s.contested && !s.quarantined && len(s.crashes) < minCrashThreshold {
 			continue
 		}
 		for _, c := range s.crashes {
-			at := c.knownAt.Add(s.settleTime(c))
+			wait := s.settleTime(c)
+			if s.quarantined && !s.hasVerdict() {
+				wait = max(wait, reportTime)
+			}
+			at := c.knownAt.Add(wait)
 			if at > now && (t.evaluateAt == 0 || at < t.evaluateAt) {
 				t.evaluateAt = at
 			}
 		}
 	}
+	if t.evaluateAt != 0 {
+		t.wakeWriter() // it evaluates the crashes then
+	}
 }
 
 // recentSuccesses returns how many attempts of a request succeeded recently at targets of a
@@ -458,26 +437,35 @@
 
 // countedCrashes returns the crashes that count against a suspect: those of targets
 // that were lost alone, and those of targets that were lost with others if several of
-// them were running attempts of the suspect. A zone outage usually hits a single attempt
-// at its start, but many in other phases: weak evidence from an outage does not count.
-// None counts against a suspect that has run well lately until minCrashPeriod has passed.
+// them were running attempts of the suspect. Crashes soon after a sound run at targets of their
+// version do not count until minCrashPeriod has passed.
 func (s *suspect) countedCrashes(now clock.Time) []*crashRecord {
-	if s.ranWellLately() && s.crashPeriod() < minCrashPeriod {
-		return nil
-	}
+	tooSoon := s.crashPeriod() < minCrashPeriod && !s.hasVerdict()
 	var out []*crashRecord
 	for _, c := range s.crashes {
-		if !c.InOutage || !c.isWeak() && s.hasConcurrentCrash(c) {
-			out = append(out, c)
+		if tooSoon && s.ranWellAt(c.Version) || c.InOutage && !c.Verdict && !s.hasConcurrentCrash(c) {
+			continue
 		}
+		out = append(out, c)
 	}
 	return out
 }
 
-// ranWellLately reports whether the suspect had run well before one of its crashes.
-func (s *suspect) ranWellLately() bool {
+// hasVerdict reports whether an instance has quarantined the suspect.
+func (s *suspect) hasVerdict() bool {
 	for _, c := range s.crashes {
-		if c.SoundBefore {
+		if c.Verdict {
+			return true
+		}
+	}
+	return false
+}
+
+// ranWellAt reports whether the suspect had run well before one of its crashes at targets of a
+// version.
+func (s *suspect) ranWellAt(version string) bool {
+	for _, c := range s.crashes {
+		if c.SoundBefore && c.Version == version {
 			return true
 		}
 	}
--- a/wire/crashes.go
+++ b/wire/crashes.go
@@ -1,17 +1,59 @@
 package wire
 
 import (
+	"cmp"
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/poison"
 )
 
+// sortCrashes returns the crashes in the order of their frames: those under requests, those under
+// parts, and those with weak evidence.
+func sortCrashes(crashes []poison.Crash) []poison.Crash {
+	kind := func(c poison.Crash) int {
+		switch {
+		case c.Phase != poison.Begun:
+			return 2
+		case c.Part != "":
+			return 1
+		}
+		return 0
+	}
+	out := slices.Clone(crashes)
+	slices.SortStableFunc(out, func(x, y poison.Crash) int { return cmp.Compare(kind(x), kind(y)) })
+	return out
+}
+
+// encodeEvidence returns what the crashes say, by their place among all frames of crashes.
+func encodeEvidence(crashes []poison.Crash) []evidenceFrame {
+	var out []evidenceFrame
+	for i, c := range sortCrashes(crashes) {
+		if c.Weight != 0 || c.Verdict {
+			out = append(out, evidenceFrame{I: i, W: c.Weight, V: c.Verdict})
+		}
+	}
+	return out
+}
+
+// decodeEvidence adds what the frames say to the crashes.
+func decodeEvidence(frames []evidenceFrame, crashes []poison.Crash) error {
+	for _, f := range frames {
+		if f.I < 0 || f.I >= len(crashes) || !(f.W >= 0) || math.IsInf(f.W, 0) {
+			return fmt.Errorf("%w: evidence %+v of %d crashes", ErrBadFrame, f, len(crashes))
+		}
+		crashes[f.I].Weight, crashes[f.I].Verdict = f.W, f.V
+	}
+	return nil
+}
+
 // encodeCrashes returns the frames of the crashes under requests, under parts, and of those
 // with weak evidence, and how far the calls of the last had come.
 func encodeCrashes(crashes []poison.Crash) (requests []crashFrame, parts []partCrashFrame, weak []weakCrashFrame, progress []progressFrame) {
-	for _, c := range crashes {
+	for _, c := range sortCrashes(crashes) {
 		f := crashFrame{F: c.Fingerprint[:], T: c.Boot.ID(), B: c.Boot.Started(), C: c.Call, A: c.InOutage, W: c.RecentSuccesses, O: c.Org, S: c.Service, V: c.Version}
 		if c.Phase != poison.Begun {
 			if c.Furthest != (poison.Progress{}) {
--- a/wire/view.go
+++ b/wire/view.go
@@ -90,6 +90,7 @@
 		W []weakCrashFrame     `cbor:"13,keyasint,omitempty"`
 		E []int                `cbor:"14,keyasint,omitempty"` // indices of the runs of S that came to their end
 		H []progressFrame      `cbor:"15,keyasint,omitempty"`
+		V []evidenceFrame      `cbor:"16,keyasint,omitempty"`
 	}
 
 	rateLimitFrame struct {
@@ -144,6 +145,15 @@
 		R int64 // milliseconds
 	}
 
+	// evidenceFrame holds Weight and Verdict of the crash with an index among all crashes. It is
+	// apart from the others so that instances without it can read the view.
+	evidenceFrame struct {
+		_ struct{} `cbor:",toarray"`
+		I int
+		W float64
+		V bool
+	}
+
 	// progressFrame is the progress of the call of the crash of W with an index, in all attempts
 	// and in one, and the furthest of any call with the request.
 	progressFrame struct {
@@ -213,6 +223,7 @@
 	}
 	f.P, f.R = encodeCacheLocations(v.CacheLocations), encodeRateLimits(v.RateLimits)
 	f.D, f.Q, f.W, f.H = encodeCrashes(v.Crashes)
+	f.V = encodeEvidence(v.Crashes)
 	f.S, f.C, f.E = encodeSoundRuns(v.SoundRuns)
 	f.U = encodeUsage(v.Usage)
 	f.X = encodeRefusals(v.Refusals)
@@ -276,6 +287,9 @@
 	if v.Crashes, err = decodeCrashes(f.D, f.Q, f.W, f.H); err != nil {
 		return View{}, err
 	}
+	if err := decodeEvidence(f.V, v.Crashes); err != nil {
+		return View{}, err
+	}
 	if v.SoundRuns, err = decodeSoundRuns(f.S, f.C, f.E); err != nil {
 		return View{}, err
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -103,7 +103,7 @@
 			CacheLocations: []CacheLocation{{Subject: "5c1e", Engine: ragworthitch.NewBoot("i-1", 1767312000123)}},
 			Crashes: []poison.Crash{{Fingerprint: poison.Of("o", "POST", "h", "/p", nil), Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", InOutage: true, RecentSuccesses: 3, Org: "o", Service: "llm", Version: "v1"},
 				{Fingerprint: poison.Parts([]string{"5c1e"})[0].Fingerprint, Part: "5c1e", Boot: ragworthitch.NewBoot("i-1", 1767312000123), Call: "c", Org: "o", Service: "llm", Version: "v1", SoundBefore: true, Age: 70 * time.Millisecond},
-				{Fingerprint: poison.Of("o", "POST", "h", "/q", nil), Boot: ragworthitch.NewBoot("i-1", 0), Call: "d", Org: "o", Service: "llm", Version: "v1", Phase: poison.Waiting, Ran: 90 * time.Millisecond},
+				{Fingerprint: poison.Of("o", "POST", "h", "/q", nil), Boot: ragworthitch.NewBoot("i-1", 0), Call: "d", Org: "o", Service: "llm", Version: "v1", Phase: poison.Waiting, Ran: 90 * time.Millisecond, Weight: 2.5, Verdict: true},
 				{Fingerprint: poison.Parts([]string{"5c1e"})[0].Fingerprint, Part: "5c1e", Boot: ragworthitch.NewBoot("i-2", 0), Call: "d", Org: "o", Service: "llm", Version: "v1", Phase: poison.Late, Ran: 2 * time.Second, Progress: poison.Progress{Total: 7, Attempt: 3}, Furthest: poison.Progress{Total: 51, Attempt: 45}}},
 			SoundRuns: []poison.SoundRun{{Part: poison.Parts([]string{"5c1e"})[0].Fingerprint, Service: "llm", Version: "v1", Age: 2 * time.Second, Extent: poison.ToEnd,
 				Boots: []ragworthitch.Boot{ragworthitch.NewBoot("t1", 7)}}}},
@@ -122,7 +122,7 @@
 	}
 	print := make([]byte, len(poison.Fingerprint{}))
 	for _, f := range []viewFrame{
-		{Q: []partCrashFrame{{C: crashFrame{F: print}}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 3}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 1, R: -1}}}, {E: []int{0}}, {H: []progressFrame{{T: 1}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 1}}, H: []progressFrame{{B: -1}}}, {Q: []partCrashFrame{{C: crashFrame{F: print}, P: "a", G: -1}}}, {Q: []partCrashFrame{{C: crashFrame{F: print[1:]}, P: "a"}}},
+		{Q: []partCrashFrame{{C: crashFrame{F: print}}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 3}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 1, R: -1}}}, {E: []int{0}}, {V: []evidenceFrame{{I: 1}}}, {D: []crashFrame{{F: print}}, V: []evidenceFrame{{W: -1}}}, {D: []crashFrame{{F: print}}, V: []evidenceFrame{{W: math.Inf(1)}}}, {D: []crashFrame{{F: print}}, V: []evidenceFrame{{W: math.NaN()}}}, {H: []progressFrame{{T: 1}}}, {W: []weakCrashFrame{{C: crashFrame{F: print}, H: 1}}, H: []progressFrame{{B: -1}}}, {Q: []partCrashFrame{{C: crashFrame{F: print}, P: "a", G: -1}}}, {Q: []partCrashFrame{{C: crashFrame{F: print[1:]}, P: "a"}}},
 		{S: []soundRunFrame{{F: print[1:]}}}, {S: []soundRunFrame{{F: print, G: -1}}}, {S: []soundRunFrame{{F: print, G: math.MaxInt64}}},
 	} {
 		b, err := cbor.Marshal(f)
