--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -89,6 +89,9 @@
 
 // isExplained reports whether a quarantined suspect ran at a target that crashed; t.mu is held.
 func (t *Tracker) isExplained(boot ragworthitch.Boot) bool {
+	if t.quarantinedCount == 0 {
+		return false
+	}
 	for _, s := range t.suspects {
 		if s.quarantined && s.crashes[boot] != nil {
 			return true
--- a/poison/losses.go
+++ b/poison/losses.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"math"
 	"time"
 
 	"github.com/ragworthitch/ragworthitch"
@@ -38,7 +37,8 @@
 
 	timedLoss struct {
 		Loss
-		at clock.Time
+		at     clock.Time
+		others int // targets of the zone that were lost at about the same time
 	}
 
 	// independentLosses are the recent losses of a service that were no part of an outage.
@@ -65,7 +65,14 @@
 			return
 		}
 	}
-	ls.entries = append(ls.entries, timedLoss{Loss: l, at: now})
+	added := timedLoss{Loss: l, at: now}
+	for i := len(ls.entries) - 1; i >= 0 && now.Sub(ls.entries[i].at) < OutageWindow; i-- {
+		if o := &ls.entries[i]; o.Zone == l.Zone {
+			o.others++
+			added.others++
+		}
+	}
+	ls.entries = append(ls.entries, added)
 }
 
 // prune drops the losses that are older than lossWindow or exceed maxLosses.
@@ -81,8 +88,8 @@
 // excluded ones.
 func (ls *lossTable) countSince(service string, since clock.Time, isExcluded func(ragworthitch.Boot) bool) int {
 	n := 0
-	for _, l := range ls.entries {
-		if l.Service == service && l.at >= since && !isExcluded(l.Boot) {
+	for i := len(ls.entries) - 1; i >= 0 && ls.entries[i].at >= since; i-- {
+		if l := ls.entries[i]; l.Service == service && !isExcluded(l.Boot) {
 			n++
 		}
 	}
@@ -93,13 +100,13 @@
 func (ls *lossTable) independent(service string, now clock.Time) independentLosses {
 	ls.prune(now)
 	out := independentLosses{period: minLossPeriod}
-	for i, l := range ls.entries {
+	for _, l := range ls.entries {
 		if l.Service != service {
 			continue
 		}
 		out.targets = max(1, l.Targets)
 		out.period = max(out.period, now.Sub(l.at))
-		if !ls.isInOutage(i) {
+		if l.others < outageThreshold {
 			out.boots = append(out.boots, l.Boot)
 		}
 	}
@@ -116,15 +123,3 @@
 	}
 	return n
 }
-
-// isInOutage reports whether the loss at an index was part of a zone outage.
-func (ls *lossTable) isInOutage(lossIndex int) bool {
-	others := 0
-	for i, o := range ls.entries {
-		interval := math.Abs(float64(o.at - ls.entries[lossIndex].at))
-		if i != lossIndex && o.Zone == ls.entries[lossIndex].Zone && interval < float64(OutageWindow) {
-			others++
-		}
-	}
-	return others >= outageThreshold
-}
--- a/poison/request.go
+++ b/poison/request.go
@@ -74,8 +74,6 @@
 	return max(1, r.Running[n])
 }
 
-func (r Request) partFingerprints() []Fingerprint { return r.fingerprints()[1:] }
-
 // Parts returns the parts with the given ids, each once and without empty ids, and the pairs
 // of up to maxPairedParts parts.
 func Parts(ids []string) []Part {
--- a/poison/sound.go
+++ b/poison/sound.go
@@ -57,10 +57,25 @@
 // so that none of its parts crashes such targets earlier. It reports whether this is news for
 // other instances.
 func (t *Tracker) RecordSoundRun(r Request, version string, extent Extent, now clock.Time) bool {
-	for _, f := range r.partFingerprints() {
-		t.successes.add(partRun{part: f, service: r.Service, version: version, extent: extent}, now)
+	var prints []Fingerprint
+	for _, p := range r.Parts {
+		if p.Last && !t.isSuspect(p.Fingerprint) {
+			continue // no other request will ask for it
+		}
+		t.successes.add(partRun{part: p.Fingerprint, service: r.Service, version: version, extent: extent}, now)
+		prints = append(prints, p.Fingerprint)
+	}
+	return t.recordRuns(prints, r.Service, version, extent, now)
+}
+
+// isSuspect reports whether targets have crashed under a request or part.
+func (t *Tracker) isSuspect(f Fingerprint) bool {
+	if t.suspectCount.Load() == 0 {
+		return false
 	}
-	return t.recordRuns(r.partFingerprints(), r.Service, version, extent, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects[f] != nil
 }
 
 func (t *Tracker) recordRuns(prints []Fingerprint, service, version string, extent Extent, now clock.Time) bool {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -66,15 +66,17 @@
 		suspects     map[Fingerprint]*suspect
 		released     map[Fingerprint]release
 		waiters      map[Fingerprint]map[*waiter]bool // by request and part
-		crashLog     reportLog[loggedCrash]
-		soundLog     reportLog[loggedSoundRun]
-		pendingEdits []Edit        // not yet written to the store
-		editQueued   chan struct{} // closed at the next edit; nil while nobody waits
-		successes    successCounter
-		progress     windows[partRun, Progress] // of recent calls, by request
-		soundRuns    soundRuns
-		losses       lossTable
-		evaluateAt   clock.Time // when the next crash begins to count; 0: none will
+
+		quarantinedCount int // of suspects
+		crashLog         reportLog[loggedCrash]
+		soundLog         reportLog[loggedSoundRun]
+		pendingEdits     []Edit        // not yet written to the store
+		editQueued       chan struct{} // closed at the next edit; nil while nobody waits
+		successes        successCounter
+		progress         windows[partRun, Progress] // of recent calls, by request
+		soundRuns        soundRuns
+		losses           lossTable
+		evaluateAt       clock.Time // when the next crash begins to count; 0: none will
 	}
 
 	// suspect is a request, or a part of prompts, under which targets have crashed; it may
@@ -434,7 +436,7 @@
 // merge adds what another attempt at the target, or another instance, says of a crash, and reports
 // whether that is news.
 func (k *crashRecord) merge(c Crash) bool {
-	isNews := c.Verdict && !k.Verdict || c.SoundBefore && !k.SoundBefore
+	isNews := c.Verdict && !k.Verdict
 	c.Verdict, c.SoundBefore, c.RecentSuccesses = c.Verdict || k.Verdict, c.SoundBefore || k.SoundBefore, max(c.RecentSuccesses, k.RecentSuccesses)
 	if c.Part == "" {
 		isNews = isNews || isPast(c.Progress.Total, k.Progress.Total) || isPast(c.Progress.Attempt, k.Progress.Attempt)
@@ -474,6 +476,7 @@
 		t.queueEdit(Edit{Drop: rows})
 	}
 	if s.quarantined {
+		t.quarantinedCount--
 		t.incCounter(s, "cleared")
 	}
 	s.describe(t.Log.Info()).Int("deaths", len(s.crashes)).Bool("wasCondemned", s.quarantined).Int("trials", s.probes).Str("cause", cause).
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -47,6 +47,7 @@
 	// explanation is a suspect as the cause of one crash.
 	explanation struct {
 		crashes     int  // of the suspect, that count; 0: there is no explanation
+		strong      int  // those with strong evidence
 		weak        bool // there is weak evidence for it
 		soundBefore bool
 		pair        bool // the suspect is a pair of parts
@@ -286,7 +287,7 @@
 
 // explain returns the suspect as the cause of one of its crashes.
 func (s countedSuspect) explain(c *crashRecord) explanation {
-	return explanation{crashes: len(s.crashes), weak: c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part)}
+	return explanation{crashes: len(s.crashes), strong: s.strong, weak: c.isWeak(), soundBefore: c.SoundBefore, pair: isPair(s.part)}
 }
 
 // isBetterThan reports whether e explains a crash better than o: with strong evidence, under
@@ -299,6 +300,8 @@
 		return o.weak
 	case e.crashes != o.crashes:
 		return e.crashes > o.crashes
+	case e.strong != o.strong:
+		return e.strong > o.strong
 	case e.soundBefore != o.soundBefore:
 		return o.soundBefore
 	}
@@ -415,10 +418,12 @@
 	}
 	s.quarantined, s.updatedAt = quarantined, now
 	if !quarantined {
+		t.quarantinedCount--
 		t.incCounter(s, "cleared")
 		s.describe(t.Log.Info()).Int("deaths", len(s.crashes)).Int("ranWellLately", t.recentSuccesses(s, now)).Msg(s.messages().released)
 		return
 	}
+	t.quarantinedCount++
 	t.incCounter(s, "condemned")
 	s.describe(t.Log.Warn()).Strs("targets", s.targetIDs(now)).Int("ranWellLately", t.recentSuccesses(s, now)).Int("trials", s.probes).
 		Dur("hold", s.probeDelay()).Msg(s.messages().quarantined)
