--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -81,10 +81,18 @@
 // estimateRunning returns how many calls all instances run of something of which this one runs
 // some: as many each, unless it is a single one.
 func (t *Tracker) estimateRunning(own int) int {
-	if own == 1 || t.Instances == nil {
+	if own == 1 {
 		return own
 	}
-	return own * max(1, t.Instances())
+	return own * t.instanceCount()
+}
+
+// instanceCount returns the number of entry instances.
+func (t *Tracker) instanceCount() int {
+	if t.Instances == nil {
+		return 1
+	}
+	return max(1, t.Instances())
 }
 
 // isExplained reports whether a quarantined suspect ran at a target that crashed; t.mu is held.
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -21,8 +21,9 @@
 	// reported to peers and written to the store: all streams at a target that crashes have one,
 	// and each peer reports to others what is new to it.
 	minSharedWeakCrashes = 2
-	// maxFirstCrashes bounds the first crashes of suspects that an instance stores of one
-	// target, and maxStoredLosses is the number of lost targets of a service up to which it does.
+	// maxFirstCrashes bounds the first crashes of suspects that all instances store of one target,
+	// as each reads them, and maxStoredLosses is the number of lost targets of a service up to
+	// which they do.
 	maxFirstCrashes = 16
 	maxStoredLosses = 2
 	// maxReleasedBoots bounds the crashes of one suspect that are known not to count.
@@ -383,7 +384,7 @@
 			stored++
 		}
 	}
-	if stored < maxFirstCrashes {
+	if stored < maxFirstCrashes/t.instanceCount() {
 		t.storeCrash(c)
 	}
 }
