--- a/ingress/poison_part_test.go
+++ b/ingress/poison_part_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/poison"
+	"github.com/ragworthitch/ragworthitch/upstream"
 )
 
 // callWithParts returns a call that is like no other but for parts of its prompt.
@@ -102,3 +104,39 @@
 		assert.Empty(t, s.crashed)
 	})
 }
+
+// quarantiningSender sends attempts over connections that are ready only after a part has been
+// quarantined.
+type quarantiningSender struct {
+	poisonSender
+	h       *Handler
+	written atomic.Int32
+}
+
+func (s *quarantiningSender) Send(ctx context.Context, r *AttemptRequest) (*Reply, error) {
+	crashUnder(s.h, "v1", 3, "bad")
+	if err := r.MayWrite(); err != nil {
+		return nil, fmt.Errorf("%w: %w", upstream.ErrNotSent, err)
+	}
+	s.written.Add(1)
+	return s.poisonSender.Send(ctx, r)
+}
+
+// TestQuarantinedBeforeWrite guards against calls that were accepted before their request, or a
+// part of it, was quarantined, and reach a target after it.
+func TestQuarantinedBeforeWrite(t *testing.T) {
+	for _, kind := range []ragworthitch.CallKind{ragworthitch.CallStream, ragworthitch.CallSafe, ragworthitch.CallUnsafe} {
+		t.Run(kind.String(), func(t *testing.T) {
+			bubble(t, "", func(t *testing.T) {
+				s := &quarantiningSender{}
+				s.h = newTestHandler(t, s, kind)
+				addTargets(s.h, "v1")
+				w, _ := serve(s.h, callWithParts("x", "good", "bad"))
+				assert.Equal(t, http.StatusInternalServerError, w.Code)
+				assert.Zero(t, s.written.Load())
+				w, _ = serve(s.h, callWithParts("y", "good"))
+				assert.Equal(t, http.StatusOK, w.Code)
+			})
+		})
+	}
+}
