--- a/poison/eviction.go
+++ b/poison/eviction.go
@@ -22,15 +22,9 @@
 // deletes their rows in the store if dropRows is set; t.mu is held.
 func (t *Tracker) evictFor(org string, dropRows bool) {
 	if t.suspects == nil {
-		t.suspects = map[Fingerprint]*suspect{}
+		t.suspects, t.orgSuspects = map[Fingerprint]*suspect{}, map[string]int{}
 	}
-	orgSuspects := 0
-	for _, s := range t.suspects {
-		if s.org == org {
-			orgSuspects++
-		}
-	}
-	if orgSuspects >= maxSuspectsPerOrg {
+	if t.orgSuspects[org] >= maxSuspectsPerOrg {
 		t.clear(t.evictionCandidate(func(s *suspect) bool { return s.org == org }), causeEvicted, dropRows)
 	}
 	if len(t.suspects) >= maxSuspects {
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -26,6 +26,9 @@
 	// which they do.
 	maxFirstCrashes = 16
 	maxStoredLosses = 2
+	// maxLossesAside is the number of targets lost at once without a suspect up to which
+	// evidence that all streams there have is kept.
+	maxLossesAside = 3
 	// maxReleasedBoots bounds the crashes of one suspect that are known not to count.
 	maxReleasedBoots = 1024
 )
@@ -68,7 +71,8 @@
 		released     map[Fingerprint]release
 		waiters      map[Fingerprint]map[*waiter]bool // by request and part
 
-		quarantinedCount int // of suspects
+		quarantinedCount int            // of suspects
+		orgSuspects      map[string]int // number of suspects by organisation
 		crashLog         reportLog[loggedCrash]
 		soundLog         reportLog[loggedSoundRun]
 		pendingEdits     []Edit        // not yet written to the store
@@ -113,7 +117,6 @@
 		*suspect
 		crashes []*crashRecord
 		strong  int // crashes with strong evidence
-		calls   int // that met the crashes
 		ranWell int // crashes before which the request, or prompts with the part, had run well
 	}
 
@@ -285,8 +288,8 @@
 		if c.isWeak() && isPair(c.Part) {
 			continue // evidence that all streams at the target have counts against single parts only
 		}
-		if c.InOutage && c.isWeak() && r.running(i) < 2 && t.lostElsewhere(c, now) > maxStoredLosses+1 && t.suspects[f] == nil {
-			continue // one stream of many that end with the zone
+		if t.isOneOfMany(r, i, c, now) {
+			continue
 		}
 		c.Weight = t.measure(c, r.running(i), now)
 		crashes = append(crashes, c)
@@ -294,6 +297,17 @@
 	return t.recordCrashes(crashes, SourceOwn, now)
 }
 
+// isOneOfMany reports whether a crash with the nth of a request's fingerprints is left out, as one of
+// many that come with the loss of several targets: of a single stream that ends with its zone,
+// or of the last part of a prompt, which says what its request does. t.mu is held.
+func (t *Tracker) isOneOfMany(r Request, n int, c Crash, now clock.Time) bool {
+	isLast := n > 0 && r.Parts[n-1].Last
+	if !c.isWeak() || t.suspects[c.Fingerprint] != nil || !isLast && (!c.InOutage || r.running(n) > 1) {
+		return false
+	}
+	return t.lostElsewhere(c, now) > maxLossesAside
+}
+
 // RecordCrash records one crash that this instance observed or a peer reported. It reports
 // whether peers have to learn of it.
 func (t *Tracker) RecordCrash(c Crash, source Source, now clock.Time) bool {
@@ -419,6 +433,7 @@
 		t.evictFor(c.Org, source == SourceOwn)
 		s = &suspect{print: c.Fingerprint, part: c.Part, org: c.Org, service: c.Service, crashes: map[ragworthitch.Boot]*crashRecord{}}
 		t.suspects[c.Fingerprint] = s
+		t.orgSuspects[c.Org]++
 		t.suspectCount.Store(int32(len(t.suspects)))
 	}
 	if known := s.crashes[c.Boot]; known != nil {
@@ -472,6 +487,9 @@
 // is set; t.mu is held.
 func (t *Tracker) clear(s *suspect, cause string, dropRows bool) {
 	delete(t.suspects, s.print)
+	if t.orgSuspects[s.org]--; t.orgSuspects[s.org] == 0 {
+		delete(t.orgSuspects, s.org)
+	}
 	t.suspectCount.Store(int32(len(t.suspects)))
 	if rows := s.storedRows(); dropRows && len(rows) > 0 {
 		t.queueEdit(Edit{Drop: rows})
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -146,14 +146,14 @@
 // target have, and several calls with something else met them as well: a bystander that goes on
 // from target to target meets crashes in one call.
 func (e *evaluation) isOutnumbered(s countedSuspect) bool {
-	return s.strong < minCrashThreshold && s.calls == 1 && slices.ContainsFunc(e.ranked, func(o countedSuspect) bool { return o.calls > 1 && e.isRival(o, s) })
+	return s.strong < minCrashThreshold && s.calls() == 1 && slices.ContainsFunc(e.ranked, func(o countedSuspect) bool { return o.calls() > 1 && e.isRival(o, s) })
 }
 
 // leads reports whether no other request, or part, was at all targets that crashed under a
 // suspect, and is quarantined, was at more of them or has as much evidence against it.
 func (e *evaluation) leads(s countedSuspect) bool {
 	return !slices.ContainsFunc(e.ranked, func(o countedSuspect) bool {
-		isSuspicious := o.calls >= min(2, s.calls) && (o.ranWell == 0 || s.ranWell > 0)
+		isSuspicious := o.calls() >= min(2, s.calls()) && (o.ranWell == 0 || s.ranWell > 0)
 		return isSuspicious && e.isRival(o, s) && (o.quarantined || len(o.crashes) > len(s.crashes) || o.weight() >= s.weight())
 	})
 }
@@ -170,6 +170,18 @@
 	})
 }
 
+// calls returns the number of calls that met the crashes, of which more than two count as two.
+func (s countedSuspect) calls() int {
+	if len(s.crashes) == 0 {
+		return 0
+	}
+	first := s.crashes[0].Call
+	if slices.ContainsFunc(s.crashes, func(c *crashRecord) bool { return c.Call != first }) {
+		return 2
+	}
+	return 1
+}
+
 // sharesCall reports whether the same call met one of the crashes under both suspects.
 func (s countedSuspect) sharesCall(o countedSuspect) bool {
 	return slices.ContainsFunc(s.crashes, func(c *crashRecord) bool {
@@ -214,9 +226,7 @@
 // newCountedSuspect counts the crashes of a suspect.
 func newCountedSuspect(s *suspect, now clock.Time) countedSuspect {
 	out := countedSuspect{suspect: s, crashes: s.countedCrashes(now)}
-	calls := map[string]bool{}
 	for _, c := range out.crashes {
-		calls[c.Call] = true
 		if !c.isWeak() {
 			out.strong++
 		}
@@ -224,7 +234,6 @@
 			out.ranWell++
 		}
 	}
-	out.calls = len(calls)
 	return out
 }
 
