--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -21,10 +21,11 @@
 	// reported to peers and written to the store: all streams at a target that crashes have one,
 	// and each peer reports to others what is new to it.
 	minSharedWeakCrashes = 2
-	// maxFirstCrashes bounds the first crashes of suspects that all instances store of one target,
-	// as each reads them, and maxStoredLosses is the number of lost targets of a service up to
-	// which they do.
-	maxFirstCrashes = 16
+	// maxFirstCrashes, divided by the square of the number of instances, bounds the first crashes
+	// of suspects that an instance stores of one target: each instance reads the rows of all, and
+	// more instances have more targets. maxStoredLosses is the number of lost targets of a service
+	// up to which they are stored.
+	maxFirstCrashes = 144
 	maxStoredLosses = 2
 	// maxLossesAside is the number of targets lost at once without a suspect up to which
 	// evidence that all streams there have is kept.
@@ -398,7 +399,7 @@
 			stored++
 		}
 	}
-	if stored < maxFirstCrashes/t.instanceCount() {
+	if n := t.instanceCount(); stored < maxFirstCrashes/(n*n) {
 		t.storeCrash(c)
 	}
 }
