--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -54,9 +54,9 @@
 	}
 )
 
-// evaluate decides which suspects are quarantined. It starts with the suspects that have the most crashes with strong evidence: a
-// target's crash is not attributed to a suspect if a quarantined one that explains it better
-// ran there too. t.mu is held.
+// evaluate decides which suspects are quarantined. It starts with the suspects that have the
+// most crashes with strong evidence: a target's crash is not attributed to a suspect if a
+// quarantined one that explains it better ran there too. t.mu is held.
 func (t *Tracker) evaluate(now clock.Time) {
 	ranked := t.rank(now)
 	e := evaluation{tracker: t, ranked: ranked, now: now, quarantinedByOrg: map[string]int{}, explanations: map[ragworthitch.Boot]explanation{}}
