--- a/review/lab2/cmd/cut/main.go
+++ b/review/lab2/cmd/cut/main.go
@@ -45,6 +45,7 @@
 // target is a plain server that answers before it has read a long body, and reads on later.
 type target struct {
 	id       string
+	lab      *lab2.Lab
 	unframed bool
 	answers  atomic.Int64
 }
@@ -75,6 +76,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRagworthitch-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
 			continue
 		}
+		t.lab.Record("%s runs %s", t.id, id)
 		framing := fmt.Sprintf("Content-Length: %d", len(answerOf(id)))
 		last := t.unframed && t.answers.Add(1)%unframedEvery == 0
 		if last {
@@ -147,7 +149,7 @@
 func play(l *lab2.Lab) (broken bool, err error) {
 	var links []*link
 	for i := range targets {
-		t := &target{id: fmt.Sprintf("i-%d", i), unframed: i < unframedTargets}
+		t := &target{id: fmt.Sprintf("i-%d", i), lab: l, unframed: i < unframedTargets}
 		addr, err := l.Listen(t.serveConn)
 		if err != nil {
 			return false, err
--- a/review/lab2/cmd/frozen/main.go
+++ b/review/lab2/cmd/frozen/main.go
@@ -152,6 +152,7 @@
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRagworthitch-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", instance)
 			continue
 		}
+		t.lab.Record("%s runs %s", instance, id)
 		framing, last := fmt.Sprintf("Content-Length: %d", len(answerOf(id))), t.isUnframed()
 		if last {
 			framing = "Connection: close"
--- a/review/lab2/cmd/slow/main.go
+++ b/review/lab2/cmd/slow/main.go
@@ -75,6 +75,7 @@
 		if !t.lab.Trouble {
 			io.Copy(io.Discard, req.Body)
 		}
+		t.lab.Record("%s runs %s", t.id, id)
 		framing := fmt.Sprintf("Content-Length: %d", len(answerOf(id)))
 		last := t.unframed && t.answers.Add(1)%unframedEvery == 0
 		if last {
