upstream: an answer without a length ends only if its request was written and its connection was not lost

Callers saw a part of an answer as a whole one: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: nothing in such an answer says that it is whole but the end of its connection, and the pool believed any end of file. When a connection is reset, or the kernel's time-out ends it, Linux tells that to one call only. While a request is being written that call is the blocked write; the read of the answer then meets an end of file, as after an end in order. Nobody asked what had become of the write.

Change: a connection knows its request (requestState): whether it is written, and the first failure that was not told to a read. The end of a connection that is also the end of an answer is withheld until the request is written, and is an error (ErrCut) if a write failed or this process has closed the connection. It sits in the connection's Read, below net/http, so that every reader of a Pool has it; net/http would close the connection at the end of file, and with that the upload of a sound target. Answers with a length or chunks are not touched.

Why it works: the write that takes the news of a reset holds the connection's lock and records it before the lock is free, and the read that meets the end of file takes that lock first. No state of the kernel is asked.

Which early answers are served: a target that answers without a length before it has read the upload, reads it on and closes in order (TestSoundEarlyAnswer, also if it ends its answer first; that answer is held back until the upload is written). Not served any more is one that ends its answer in order and never reads the rest of a request which the buffers don't hold: nothing tells it from one that died. It costs a 502, or a further attempt where the kind of call allows that, at the latest after the kernel's time-out (2 s).

--- a/loopback/raw.go
+++ b/loopback/raw.go
@@ -21,10 +21,27 @@
 	LongRequestBytes = 16 << 20
 )
 
+const (
+	// partBytes is the part of a long request that EndResetPart reads.
+	partBytes = 1 << 20
+	// A request that is read slowly is read in slowReads parts of slowReadBytes.
+	slowReads     = 20
+	slowReadBytes = 16 << 10
+	slowReadPause = 5 * time.Millisecond
+)
+
 // What a server does after an answer to a request whose body it has not read.
 const (
-	// EndReset resets the connection.
-	EndReset ConnEnd = "reset"
+	// EndReset resets the connection soon after the answer, EndResetAtOnce at once, and
+	// EndResetLate later.
+	EndReset       ConnEnd = "reset"
+	EndResetAtOnce ConnEnd = "resetAtOnce"
+	EndResetLate   ConnEnd = "resetLate"
+	// EndResetPart reads a part of the request, and resets the connection. EndResetSlow resets
+	// it while it reads the request slowly, and EndCloseSlow closes it then.
+	EndResetPart ConnEnd = "resetPart"
+	EndResetSlow ConnEnd = "resetSlow"
+	EndCloseSlow ConnEnd = "closeSlow"
 	// EndUnread closes the connection, which resets it if a part of the request has arrived.
 	EndUnread ConnEnd = "unread"
 	// EndSilent keeps the connection open and reads nothing.
@@ -88,9 +105,23 @@
 // End ends a connection after the answer to req. Errors mean that the client has gone.
 func (e ConnEnd) End(c *net.TCPConn, req *http.Request) {
 	switch e {
+	case EndResetAtOnce:
+		c.SetLinger(0)
 	case EndReset:
 		time.Sleep(answerPause)
 		c.SetLinger(0)
+	case EndResetLate:
+		time.Sleep(readPause)
+		c.SetLinger(0)
+	case EndResetPart:
+		io.CopyN(io.Discard, req.Body, partBytes)
+		time.Sleep(answerPause)
+		c.SetLinger(0)
+	case EndResetSlow:
+		readSlowly(req.Body)
+		c.SetLinger(0)
+	case EndCloseSlow:
+		readSlowly(req.Body)
 	case EndUnread:
 		time.Sleep(answerPause)
 	case EndSilent:
@@ -106,3 +137,11 @@
 		io.Copy(io.Discard, c)
 	}
 }
+
+// readSlowly reads the beginning of a long request.
+func readSlowly(r io.Reader) {
+	for range slowReads {
+		io.CopyN(io.Discard, r, slowReadBytes)
+		time.Sleep(slowReadPause)
+	}
+}
--- /dev/null
+++ b/upstream/end.go
@@ -0,0 +1,109 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// ErrCut means that an answer without a length has ended, and that something is missing which would
+// say that it is whole.
+var ErrCut = errors.New("upstream: answer without a length is not known to be whole")
+
+// requestState is what is known of the request in progress on a connection. The zero value
+// is that of a connection without a request.
+type requestState struct {
+	mu         sync.Mutex
+	endsAnswer bool          // the end of the connection is that of the answer
+	written    bool          // the request was written, or its writing has failed
+	failure    error         // the first failure of the connection that was not told to a read
+	waiting    chan struct{} // closed when written is set; nil: nobody waits
+}
+
+// Delimited reports whether an answer has a length or an end mark, so that net/http notices when
+// its body is cut. Any other answer ends with its connection.
+func Delimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// end returns what a read returns at the end of the connection: io.EOF, or an error if that is also
+// the end of an answer which is not known to be whole:
+//
+//   - The request was not written whole: a write failed or was ended.
+//   - The connection was lost. A reset, or a time-out of the kernel, is told to one call only; if
+//     that was a write, reads meet an end of file.
+//   - This process has closed the connection.
+//
+// A target may end its answer before it has read the request, so end waits until the request is
+// written. That ends at the latest when the connection is closed.
+func (c *countedConn) end() error {
+	if !c.request.awaitWritten() {
+		return io.EOF
+	}
+	c.mu.Lock() // the last part of the request may be in a write that goes on
+	defer c.mu.Unlock()
+	if err := c.request.failed(); err != nil {
+		return fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	return io.EOF
+}
+
+// begin starts the next request.
+func (r *requestState) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endsAnswer, r.written, r.waiting = false, false, nil
+}
+
+// received records the head of the answer.
+func (r *requestState) received(resp *http.Response) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endsAnswer = !Delimited(resp)
+}
+
+// wrote ends the writing of the request; err says why it failed, or is nil.
+func (r *requestState) wrote(err error) {
+	r.fail(err)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.written = true
+	if r.waiting != nil {
+		close(r.waiting)
+		r.waiting = nil
+	}
+}
+
+// fail records a failure of the connection. An err of nil is none.
+func (r *requestState) fail(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failure == nil {
+		r.failure = err
+	}
+}
+
+func (r *requestState) failed() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failure
+}
+
+// awaitWritten waits until the request is written if the end of the connection is that of the
+// answer, and reports whether it is.
+func (r *requestState) awaitWritten() bool {
+	r.mu.Lock()
+	if !r.endsAnswer || r.written {
+		defer r.mu.Unlock()
+		return r.endsAnswer
+	}
+	if r.waiting == nil {
+		r.waiting = make(chan struct{})
+	}
+	waiting := r.waiting
+	r.mu.Unlock()
+	<-waiting
+	return true
+}
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -206,7 +206,8 @@
 	g.deadline = t
 }
 
-// Read reads within the bounds of a head, while one is read.
+// Read reads within the bounds of a head, while one is read. It returns io.EOF at the end of an
+// answer without a length only if the answer may be whole.
 func (c *countedConn) Read(b []byte) (int, error) {
 	for {
 		limit, err := c.head.allowed(len(b))
@@ -220,6 +221,9 @@
 				continue
 			}
 		}
+		if err == io.EOF {
+			err = c.end()
+		}
 		return n, err
 	}
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -97,13 +97,14 @@
 		maxIdle   time.Duration
 	}
 
-	// countedConn counts the written bytes that the kernel accepted, and bounds the heads
-	// that are read.
+	// countedConn counts the written bytes that the kernel accepted, bounds the heads that are
+	// read, and records what becomes of the request.
 	countedConn struct {
 		net.Conn
 		mu      sync.Mutex // held during a write
 		written int64      // bytes
 		head    headGuard
+		request requestState
 	}
 
 	// socketKey is the context key of the **countedConn in which dial stores the
@@ -128,9 +129,17 @@
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	c.written += int64(n)
+	c.request.fail(err)
 	return n, err
 }
 
+// Close closes the connection, which ends the writing of the request, and with it the wait of end.
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.request.wrote(net.ErrClosed)
+	return err
+}
+
 // bytesWritten returns how many bytes the kernel accepted. A write in progress ends
 // first, so that the count is final once the connection is closed.
 func (c *countedConn) bytesWritten() int64 {
@@ -167,7 +176,8 @@
 // connection is reused once the body was read to its end and closed, unless
 // Discard was called. Errors wrap ErrNotSent, and ErrRefused or the error of
 // Hooks.MayWrite if that is the reason, or ErrSent, and ErrTooLong if the head of the answer
-// exceeded a bound. Errors of the body may wrap ErrTooLong, too.
+// exceeded a bound. Errors of the body may wrap ErrTooLong, too, and wrap ErrCut if an answer without
+// a length is not known to be whole.
 func (p *Pool) Do(req *http.Request, hooks Hooks) (*http.Response, error) {
 	c, err := p.acquire(req.Context())
 	if err != nil {
@@ -197,6 +207,7 @@
 		return nil, fmt.Errorf("%w: %s", ErrSent, shortText(err))
 	}
 	c.maxIdle = maxIdleTimeOf(resp.Header)
+	c.sock.request.received(resp)
 	resp.Body = &body{ReadCloser: resp.Body, poolConn: c, last: resp.Close, endWatch: endWatch}
 	return resp, nil
 }
@@ -216,6 +227,7 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	stop := context.AfterFunc(parent, func() { time.AfterFunc(headGrace, cancel) })
 	c.sock.head.begin()
+	c.sock.request.begin()
 	resp, err = c.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, c.trace)))
 	stop()
 	exceeded := c.sock.head.end(c.sock.Conn)
@@ -322,7 +334,10 @@
 		}
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error { return sock.head.receivedInformational(sock.Conn) }}
+	trace := &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { return sock.head.receivedInformational(sock.Conn) },
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { sock.request.wrote(info.Err) },
+	}
 	return &conn{pool: p, http: hc, sock: sock, trace: trace, maxIdle: defaultIdleTime}, nil
 }
 
