upstream: a look at unread bytes leaves the news of a reset to the read

Callers would see a part of a stream without a length as a whole one, if its connection was reset while the instance looked whether bytes of a silent target wait to be read (HasUnread, at each check of silence and each failover). Not seen from outside; found while looking for the cause of the early answers.

The look is a call on the socket, and the kernel tells of a reset to one call only: the look took the error and dropped it, and the read met an end of file.

Change: the look records the error as a failure of the connection, under the lock that a read takes when it meets the end of file, so that the read can't overtake it. Other calls that take such an error were looked for (SO_ERROR, MSG_PEEK): there are none.

--- a/upstream/sockets.go
+++ b/upstream/sockets.go
@@ -41,9 +41,21 @@
 	if err != nil {
 		return false
 	}
+	return b.poolConn.sock.request.look(raw)
+}
+
+// look reports whether a connection has unread bytes. It records the loss of the connection: the
+// kernel tells of it once, and the next read meets an end of file.
+func (r *requestState) look(raw syscall.RawConn) bool {
+	r.mu.Lock() // a read that meets the end of file waits until the loss is recorded
+	defer r.mu.Unlock()
 	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	var recvErr error
+	err := raw.Control(func(fd uintptr) {
+		n, _, recvErr = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && n > 0
+	if recvErr != nil && recvErr != unix.EAGAIN && recvErr != unix.EINTR && r.failure == nil {
+		r.failure = recvErr
+	}
+	return err == nil && recvErr == nil && n > 0
 }
