upstream: an answer whose status is none is no answer, for every reader

Elsewhere it was one: the store's 000 counted as a success, so that a row or an object seemed written, or a table empty; a target counted as there by a health answer of 000, so that its cut answer looked whole; the product's own interface took an engine's load from it.

Cause: net/http accepts any three digits, and the status was judged by one reader, the platform's Sender.

Change: the head is judged where a Pool or a Transport receives it, so that no reader can forget it: a status outside 200 to 599 is an error (ErrBadHead), but for a 101 where the request asked for it. What such a head says about its target is not believed either.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -84,7 +84,8 @@
 		// MayWrite is called when there is a connection, before anything is written. Its
 		// error keeps the request from being sent.
 		MayWrite func() error
-		// OnHead is called with the head of the answer, before the answer is judged.
+		// OnHead is called with the head of the answer, before the answer is judged. A head that
+		// is none says nothing.
 		OnHead func(*http.Response)
 	}
 
@@ -176,8 +177,8 @@
 // connection is reused once the body was read to its end and closed, unless
 // Discard was called. Errors wrap ErrNotSent, and ErrRefused or the error of
 // Hooks.MayWrite if that is the reason, or ErrSent, and ErrTooLong if the head of the answer
-// exceeded a bound. Errors of the body may wrap ErrTooLong, too, and wrap ErrCut if an answer without
-// a length is not known to be whole.
+// exceeded a bound, or ErrBadHead if it is none. Errors of the body may wrap ErrTooLong, too, and wrap ErrCut if an answer without
+// a length is not known to be whole (see CheckEnd).
 func (p *Pool) Do(req *http.Request, hooks Hooks) (*http.Response, error) {
 	c, err := p.acquire(req.Context())
 	if err != nil {
@@ -188,16 +189,16 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	before := c.sock.bytesWritten()
-	resp, endWatch, tooLong, err := c.roundTrip(req)
-	if resp != nil && hooks.OnHead != nil {
+	resp, endWatch, refused, err := c.roundTrip(req)
+	if resp != nil && hooks.OnHead != nil && !errors.Is(refused, ErrBadHead) {
 		hooks.OnHead(resp)
 	}
-	if tooLong != nil {
+	if refused != nil {
 		if endWatch != nil {
 			endWatch()
 		}
 		c.close()
-		return nil, fmt.Errorf("%w: %w", ErrSent, tooLong)
+		return nil, fmt.Errorf("%w: %w", ErrSent, refused)
 	}
 	if err != nil {
 		c.close()
@@ -219,10 +220,10 @@
 	return h.MayWrite()
 }
 
-// roundTrip sends req and reads the head of its answer. tooLong says which bound the head
-// exceeded. The request is cancelled headGrace after its context ends, and from the head of
+// roundTrip sends req and reads the head of its answer. refused says which bound the head
+// exceeded, or why it is none. The request is cancelled headGrace after its context ends, and from the head of
 // the answer on at once, until endWatch is called.
-func (c *conn) roundTrip(req *http.Request) (resp *http.Response, endWatch func() bool, tooLong, err error) {
+func (c *conn) roundTrip(req *http.Request) (resp *http.Response, endWatch func() bool, refused, err error) {
 	parent := req.Context()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	stop := context.AfterFunc(parent, func() { time.AfterFunc(headGrace, cancel) })
@@ -238,7 +239,10 @@
 		}
 		return nil, nil, nil, err
 	}
-	return resp, context.AfterFunc(parent, cancel), checkFields(resp.Header), nil
+	if refused = checkFields(resp.Header); refused == nil {
+		refused = checkHead(resp)
+	}
+	return resp, context.AfterFunc(parent, cancel), refused, nil
 }
 
 // Discard closes the connection of a response that does not belong to the
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(resp); err != nil {
+		resp.Body.Close() // which closes the connection
+		return nil, err
+	}
 	conn.Load().request.received(resp)
 	return resp, nil
 }
