upstream: a head with a name that is none is no head, for every reader

Callers got an answer in whose head the name of a field held a blank, with that line passed on; after "Content-Length : 3" or "Transfer-Encoding : chunked" with a body that was not the target's (up to the end of the connection, or the chunks' own bytes).

Cause: net/textproto refuses control bytes and empty names, but lets a blank in a name through on purpose, with the name as it came, so that it is no Content-Length to net/http. Servers of net/http refuse such requests themselves; clients have to look, and none of ours did. A line that begins with a blank or a tab is taken for the rest of the line before it, so that nothing is left of a name which a blank precedes.

Held before: control bytes in names and values, empty names, lines without a colon, a blank before the first name.

The same for informational heads and, at the end of the body, for trailers, which are not passed on. Folded lines: RFC 9112, section 5.2, lets a gateway refuse an answer that has one or join the lines; ours refuses it, as nothing tells it from a name with a blank in front. net/http doesn't show them, so that the bytes of a head are searched for such lines (lineGuard); fields are not parsed. Folded lines in trailers are joined. The handshake with a peer uses Transport, too.

--- a/upstream/end.go
+++ b/upstream/end.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"sync"
 )
 
@@ -21,6 +22,16 @@
 	written    bool          // the request was written, or its writing has failed
 	failure    error         // the first failure of the connection that was not told to a read
 	waiting    chan struct{} // closed when written is set; nil: nobody waits
+
+	hasHead       bool // the head of the answer was received
+	informational int  // heads before that one
+	lines         lineGuard
+}
+
+// checkedBody is the body of an answer. Its trailers are checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
 }
 
 // Delimited reports whether an answer has a length or an end mark, so that net/http notices when
@@ -58,6 +69,17 @@
 	return nil
 }
 
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := checkNames(b.resp.Trailer); err != nil {
+		return n, err
+	}
+	return n, io.EOF
+}
+
 // end returns what a read returns at the end of the connection: io.EOF, or an error if that is also
 // the end of an answer which is not known to be whole, as far as the connection knows (see CheckEnd). A
 // target may end its answer before it has read the request, so end waits until the request is
@@ -79,13 +101,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endsAnswer, r.written, r.waiting = false, false, nil
+	r.hasHead, r.informational, r.lines = false, 0, lineGuard{}
+}
+
+// read takes the next bytes that were read.
+func (r *requestState) read(b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hasHead {
+		r.lines.read(b)
+	}
 }
 
-// received records the head of the answer.
-func (r *requestState) received(resp *http.Response) {
+// receivedInformational records an informational head. It returns an error if it is none, or one
+// too many.
+func (r *requestState) receivedInformational(h textproto.MIMEHeader) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.informational++; r.informational > maxInformational {
+		return &TooLongError{Part: PartInformational, Bound: fmt.Sprint(maxInformational)}
+	}
+	return checkNames(http.Header(h))
+}
+
+// received records the head of the answer. It returns an error if it is none.
+func (r *requestState) received(resp *http.Response) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hasHead = true
 	r.endsAnswer = !Delimited(resp)
+	if err := r.lines.check(r.informational + 1); err != nil {
+		return err
+	}
+	return checkHead(resp)
 }
 
 // wrote ends the writing of the request; err says why it failed, or is nil.
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -64,12 +64,11 @@
 	// headGuard bounds the heads that are read from a connection. The zero value bounds
 	// nothing until begin is called.
 	headGuard struct {
-		mu            sync.Mutex
-		active        bool      // the head of an answer is being read
-		left          int       // bytes that the heads of the answer may still take
-		informational int       // heads so far
-		deadline      time.Time // of the current head; zero: none of it was read yet
-		exceeded      *TooLongError
+		mu       sync.Mutex
+		active   bool      // the head of an answer is being read
+		left     int       // bytes that the heads of the answer may still take
+		deadline time.Time // of the current head; zero: none of it was read yet
+		exceeded *TooLongError
 	}
 
 	// limitedReader reads at most left bytes and then fails, unless that was all.
@@ -127,7 +126,7 @@
 func (g *headGuard) begin() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.active, g.left, g.informational, g.exceeded = true, MaxHeadBytes, 0, nil
+	g.active, g.left, g.exceeded = true, MaxHeadBytes, nil
 }
 
 // end stops bounding, and returns what was exceeded; nil: nothing.
@@ -165,16 +164,12 @@
 	}
 }
 
-// receivedInformational counts an informational head. The time of the next head starts
-// with its first bytes.
-func (g *headGuard) receivedInformational(c net.Conn) error {
+// receivedInformational ends an informational head. The time of the next head starts with its
+// first bytes.
+func (g *headGuard) receivedInformational(c net.Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.informational++; g.informational > maxInformational {
-		return g.exceed(&TooLongError{Part: PartInformational, Bound: fmt.Sprint(maxInformational)})
-	}
 	g.setDeadline(c, time.Time{})
-	return nil
 }
 
 // expired handles a read that ended at its deadline. It extends the deadline and returns nil
@@ -216,6 +211,7 @@
 		}
 		n, err := c.Conn.Read(b[:limit])
 		c.head.received(c.Conn, n)
+		c.request.read(b[:n])
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			if err = c.head.expired(c.Conn, err); err == nil {
 				continue
@@ -251,15 +247,22 @@
 }
 
 // HeadError returns a *TooLongError for the error of net/http that says that the heads of an
-// answer have more than Transport.MaxResponseHeaderBytes, if that is MaxHeadBytes; otherwise
-// an error with the beginning of err's text. It is for transports other than Pool's.
+// answer have more than Transport.MaxResponseHeaderBytes, if that is MaxHeadBytes; err itself if it
+// wraps ErrTooLong or ErrBadHead; otherwise an error with the beginning of err's text. It is for
+// transports other than Pool's.
 func HeadError(err error) error {
-	if strings.Contains(err.Error(), "server response headers exceeded") {
+	switch {
+	case strings.Contains(err.Error(), "server response headers exceeded"):
 		return BytesExceeded(PartHead, MaxHeadBytes)
+	case isRefusal(err):
+		return err
 	}
 	return errors.New(shortText(err))
 }
 
+// isRefusal reports whether an error says why an answer is not accepted.
+func isRefusal(err error) bool { return errors.Is(err, ErrTooLong) || errors.Is(err, ErrBadHead) }
+
 // BodyError returns a *TooLongError for those errors of net/http that say that the encoding
 // of a body exceeds a bound of net/http: 4 KiB for a line with the size and the extensions of
 // a chunk, 16 KiB for what such lines take in all beyond the body's own size, and
--- a/upstream/odd_heads_test.go
+++ b/upstream/odd_heads_test.go
@@ -44,3 +44,28 @@
 		})
 	}
 }
+
+// Guards against an answer that counts as whole although its trailers are none.
+func TestOddTrailers(t *testing.T) {
+	type trailers struct {
+		Name, Lines string
+		Accepted    bool
+	}
+	for _, tt := range cases.Load[trailers](t, "testdata/odd_trailers.yaml") {
+		t.Run(tt.Name, func(t *testing.T) {
+			p, resp, err := askPool(t, 0, func(c *net.TCPConn, _ *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n%s\r\n", tt.Lines)
+				c.Read(make([]byte, 1)) // until the connection is closed
+			})
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if tt.Accepted {
+				assert.NoError(t, err)
+				return
+			}
+			assert.Error(t, err)
+			assert.Zero(t, p.Open(), "connection is kept")
+		})
+	}
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -116,7 +116,7 @@
 	// the body is complete, and closes the connection otherwise. Close may be called while
 	// another goroutine reads, and more than once; the connection is closed when it returns.
 	body struct {
-		io.ReadCloser
+		checkedBody
 		poolConn *conn
 		endWatch func() bool // ends the watch for the end of the request's context
 		last     bool        // the target closes the connection after it
@@ -208,8 +208,7 @@
 		return nil, fmt.Errorf("%w: %s", ErrSent, shortText(err))
 	}
 	c.maxIdle = maxIdleTimeOf(resp.Header)
-	c.sock.request.received(resp)
-	resp.Body = &body{ReadCloser: resp.Body, poolConn: c, last: resp.Close, endWatch: endWatch}
+	resp.Body = &body{checkedBody: checkedBody{resp.Body, resp}, poolConn: c, last: resp.Close, endWatch: endWatch}
 	return resp, nil
 }
 
@@ -234,13 +233,16 @@
 	exceeded := c.sock.head.end(c.sock.Conn)
 	if err != nil {
 		cancel()
-		if exceeded != nil {
+		switch {
+		case exceeded != nil:
 			return nil, nil, exceeded, err
+		case isRefusal(err):
+			return nil, nil, err, err
 		}
 		return nil, nil, nil, err
 	}
-	if refused = checkFields(resp.Header); refused == nil {
-		refused = checkHead(resp)
+	if refused = c.sock.request.received(resp); refused == nil {
+		refused = checkFields(resp.Header)
 	}
 	return resp, context.AfterFunc(parent, cancel), refused, nil
 }
@@ -339,8 +341,11 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	trace := &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error { return sock.head.receivedInformational(sock.Conn) },
-		WroteRequest:   func(info httptrace.WroteRequestInfo) { sock.request.wrote(info.Err) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			sock.head.receivedInformational(sock.Conn)
+			return sock.request.receivedInformational(h)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { sock.request.wrote(info.Err) },
 	}
 	return &conn{pool: p, http: hc, sock: sock, trace: trace, maxIdle: defaultIdleTime}, nil
 }
@@ -367,7 +372,7 @@
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.checkedBody.Read(p)
 	switch {
 	case err == io.EOF:
 		b.complete.Store(true)
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 )
 
@@ -38,17 +39,20 @@
 			c.request.begin()
 			conn.Store(c)
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { conn.Load().request.wrote(info.Err) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return conn.Load().request.receivedInformational(h) },
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { conn.Load().request.wrote(info.Err) },
 	}
 	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
-		resp.Body.Close() // which closes the connection
+	if err := conn.Load().request.received(resp); err != nil {
+		resp.Body.Close()
 		return nil, err
 	}
-	conn.Load().request.received(resp)
+	if resp.StatusCode != http.StatusSwitchingProtocols { // its body is the connection
+		resp.Body = &checkedBody{resp.Body, resp}
+	}
 	return resp, nil
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -55,7 +55,7 @@
 
 var (
 	// dialClient makes the handshakes. The context of a dial bounds its time.
-	dialClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes}}
+	dialClient = &http.Client{Transport: upstream.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: upstream.MaxHeadBytes})}
 
 	// ErrClosed is returned when a connection cannot be opened or has failed.
 	ErrClosed = errors.New("wire: connection closed")
