--- a/upstream/end.go
+++ b/upstream/end.go
@@ -80,22 +80,6 @@
 	return n, io.EOF
 }
 
-// end returns what a read returns at the end of the connection: io.EOF, or an error if that is also
-// the end of an answer which is not known to be whole, as far as the connection knows (see CheckEnd). A
-// target may end its answer before it has read the request, so end waits until the request is
-// written. That ends at the latest when the connection is closed.
-func (c *countedConn) end() error {
-	if !c.request.awaitWritten() {
-		return io.EOF
-	}
-	c.mu.Lock() // the last part of the request may be in a write that goes on
-	defer c.mu.Unlock()
-	if err := c.request.failed(); err != nil {
-		return fmt.Errorf("%w: %w", ErrCut, err)
-	}
-	return io.EOF
-}
-
 // begin starts the next request.
 func (r *requestState) begin() {
 	r.mu.Lock()
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -201,29 +200,6 @@
 	g.deadline = t
 }
 
-// Read reads within the bounds of a head, while one is read. It returns io.EOF at the end of an
-// answer without a length only if the answer may be whole (see CheckEnd).
-func (c *countedConn) Read(b []byte) (int, error) {
-	for {
-		limit, err := c.head.allowed(len(b))
-		if err != nil {
-			return 0, err
-		}
-		n, err := c.Conn.Read(b[:limit])
-		c.head.received(c.Conn, n)
-		c.request.read(b[:n])
-		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-			if err = c.head.expired(c.Conn, err); err == nil {
-				continue
-			}
-		}
-		if err == io.EOF {
-			err = c.end()
-		}
-		return n, err
-	}
-}
-
 // checkFields returns an error if a head has too many fields.
 func checkFields(h http.Header) error {
 	n := 0
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -98,20 +97,6 @@
 		maxIdle   time.Duration
 	}
 
-	// countedConn counts the written bytes that the kernel accepted, bounds the heads that are
-	// read, and records what becomes of the request.
-	countedConn struct {
-		net.Conn
-		mu      sync.Mutex // held during a write
-		written int64      // bytes
-		head    headGuard
-		request requestState
-	}
-
-	// socketKey is the context key of the **countedConn in which dial stores the
-	// new connection.
-	socketKey struct{}
-
 	// body is a response body whose Close returns the connection to its pool if
 	// the body is complete, and closes the connection otherwise. Close may be called while
 	// another goroutine reads, and more than once; the connection is closed when it returns.
@@ -125,30 +110,6 @@
 	}
 )
 
-func (c *countedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n, err := c.Conn.Write(b)
-	c.written += int64(n)
-	c.request.fail(err)
-	return n, err
-}
-
-// Close closes the connection, which ends the writing of the request, and with it the wait of end.
-func (c *countedConn) Close() error {
-	err := c.Conn.Close()
-	c.request.wrote(net.ErrClosed)
-	return err
-}
-
-// bytesWritten returns how many bytes the kernel accepted. A write in progress ends
-// first, so that the count is final once the connection is closed.
-func (c *countedConn) bytesWritten() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
-}
-
 // NewPool returns a pool for the target at addr (host:port) with at most max
 // connections; 0 means no limit.
 func NewPool(addr string, max int) *Pool { return &Pool{addr: addr, max: max} }
@@ -406,20 +367,6 @@
 	b.poolConn.close()
 }
 
-// dial opens a connection and stores it where the socketKey value of ctx points.
-func dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Control: DialControl}
-	nc, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	c := &countedConn{Conn: nc}
-	if p, ok := ctx.Value(socketKey{}).(**countedConn); ok {
-		*p = c
-	}
-	return c, nil
-}
-
 // maxIdleTimeOf returns how long a connection may stay idle, from the Keep-Alive
 // header of its last response.
 func maxIdleTimeOf(h http.Header) time.Duration {
