--- a/upstream/end.go
+++ b/upstream/end.go
@@ -42,7 +42,8 @@
 
 // CheckEnd returns nil if an answer whose body was read to io.EOF is whole, and otherwise an error
 // that wraps ErrCut. Every reader of answers that may end with their connection uses it, as nothing
-// in such an answer says that it is whole. What is unknown counts as missing:
+// in such an answer says that it is whole, unless the body itself does (a JSON document, the end
+// mark of an engine's stream). What is unknown counts as missing:
 //
 //   - The request was written whole: no write failed or was ended.
 //   - The connection was not lost. A reset, or a time-out of the kernel, is told to one call only;
