--- a/ingress/unchecked_end_test.go
+++ b/ingress/unchecked_end_test.go
@@ -74,6 +74,10 @@
 				w, cut := serve(h, call)
 				served := !cut && w.Code == s.status && w.Body.Len() == len(s.body)
 				assert.Equal(t, tt.Whole, served, "status %d, %d bytes, cut %v", w.Code, w.Body.Len(), cut)
+				assert.Zero(t, h.Active())
+				for _, m := range h.targets.All() {
+					assert.Zero(t, m.Work().All(), "work left at %s", m.Target().ID())
+				}
 				if !tt.Whole && !cut {
 					assert.GreaterOrEqual(t, w.Code, http.StatusInternalServerError)
 					assert.False(t, promisesNotRun(w.Code), "status %d", w.Code)
