--- a/engine/odd_answers_test.go
+++ b/engine/odd_answers_test.go
@@ -13,7 +13,7 @@
 	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
-// Guards against a load or a token that an agent takes from an answer which is none.
+// Guards against a load or a token that an agent takes from an invalid answer.
 func TestOddAnswers(t *testing.T) {
 	type oddAnswer struct {
 		Name, Head string
--- a/upstream/end.go
+++ b/upstream/end.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// receivedInformational records an informational head. It returns an error if it is none, or one
+// receivedInformational records an informational head. It returns an error if it is invalid, or one
 // too many.
 func (r *requestState) receivedInformational(h textproto.MIMEHeader) error {
 	r.mu.Lock()
@@ -109,7 +109,7 @@
 	return checkNames(http.Header(h))
 }
 
-// received records the head of the answer. It returns an error if it is none.
+// received records the head of the answer. It returns an error if it is invalid.
 func (r *requestState) received(resp *http.Response) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -133,7 +133,7 @@
 	}
 }
 
-// fail records a failure of the connection. An err of nil is none.
+// fail records a failure of the connection. A nil err records nothing.
 func (r *requestState) fail(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -16,7 +16,7 @@
 )
 
 var (
-	// ErrBadHead means that the head of an answer is none: nothing in it can be trusted.
+	// ErrBadHead means that the head of an answer is invalid: nothing in it can be trusted.
 	ErrBadHead = errors.New("upstream: head of the answer is invalid")
 
 	errFoldedLine = fmt.Errorf("%w: line begins with a blank", ErrBadHead)
@@ -32,7 +32,7 @@
 }
 
 // checkHead returns an error that wraps ErrBadHead if the head of an answer, as net/http has
-// accepted it, is none.
+// accepted it, is invalid.
 func checkHead(resp *http.Response) error {
 	if err := checkNames(resp.Header); err != nil {
 		return err
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// checkNames returns an error if the name of a field is none. net/textproto refuses control bytes
+// checkNames returns an error if the name of a field is invalid. net/textproto refuses control bytes
 // and empty names, but lets blanks through.
 func checkNames(h http.Header) error {
 	for name := range h {
--- a/upstream/odd_heads_test.go
+++ b/upstream/odd_heads_test.go
@@ -14,11 +14,11 @@
 	"github.com/ragworthitch/ragworthitch/rwtest/cases"
 )
 
-// Guards against a head that is taken for one although the name of a field holds a blank or a
-// control byte: the field was passed on, or a body of another length.
+// Guards against a head that is accepted although the name of a field holds a blank or a control
+// byte: the field was passed on, or a body of another length.
 func TestOddFieldNames(t *testing.T) { checkHeads(t, "testdata/odd_heads.yaml") }
 
-// Guards against an answer whose status is none.
+// Guards against an answer with an invalid status.
 func TestOddStatuses(t *testing.T) { checkHeads(t, "testdata/odd_statuses.yaml") }
 
 // checkHeads asks a target for each answer of a file, and checks which the pool accepts.
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards against an answer that counts as whole although its trailers are none.
+// Guards against an answer that counts as whole although its trailers are invalid.
 func TestOddTrailers(t *testing.T) {
 	type trailers struct {
 		Name, Lines string
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -83,8 +83,8 @@
 		// MayWrite is called when there is a connection, before anything is written. Its
 		// error keeps the request from being sent.
 		MayWrite func() error
-		// OnHead is called with the head of the answer, before the answer is judged. A head that
-		// is none says nothing.
+		// OnHead is called with the head of the answer, before the answer is judged, unless the
+		// head is invalid.
 		OnHead func(*http.Response)
 	}
 
@@ -138,7 +138,7 @@
 // connection is reused once the body was read to its end and closed, unless
 // Discard was called. Errors wrap ErrNotSent, and ErrRefused or the error of
 // Hooks.MayWrite if that is the reason, or ErrSent, and ErrTooLong if the head of the answer
-// exceeded a bound, or ErrBadHead if it is none. Errors of the body may wrap ErrTooLong or
+// exceeded a bound, or ErrBadHead if it is invalid. Errors of the body may wrap ErrTooLong or
 // ErrBadHead, too, or ErrCut if an answer without a length is not known to be whole (see CheckEnd).
 func (p *Pool) Do(req *http.Request, hooks Hooks) (*http.Response, error) {
 	c, err := p.acquire(req.Context())
@@ -181,7 +181,7 @@
 }
 
 // roundTrip sends req and reads the head of its answer. refused says which bound the head
-// exceeded, or why it is none. The request is cancelled headGrace after its context ends, and from
+// exceeded, or why it is invalid. The request is cancelled headGrace after its context ends, and from
 // the head of the answer on at once, until endWatch is called.
 func (c *conn) roundTrip(req *http.Request) (resp *http.Response, endWatch func() bool, refused, err error) {
 	parent := req.Context()
--- a/wire/odd_handshake_test.go
+++ b/wire/odd_handshake_test.go
@@ -20,7 +20,7 @@
 // handshakeID is appended to the key of a handshake (RFC 6455, section 1.3).
 const handshakeID = "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"
 
-// Guards against a peer whose handshake is taken for one though its head is none.
+// Guards against a peer whose handshake is accepted though its head is invalid.
 func TestOddHandshake(t *testing.T) {
 	type handshake struct {
 		Name, Status, Line string
