--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,9 +11,9 @@
 )
 
 type (
-	// countedConn counts the written bytes that the kernel accepted, bounds the heads that are
+	// trackedConn counts the written bytes that the kernel accepted, bounds the heads that are
 	// read, and records what becomes of the request.
-	countedConn struct {
+	trackedConn struct {
 		net.Conn
 		mu      sync.Mutex // held during a write
 		written int64      // bytes
@@ -21,7 +21,7 @@
 		request requestState
 	}
 
-	// socketKey is the context key of the **countedConn in which dial stores the
+	// socketKey is the context key of the **trackedConn in which dial stores the
 	// new connection.
 	socketKey struct{}
 )
@@ -33,14 +33,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &countedConn{Conn: nc}
-	if p, ok := ctx.Value(socketKey{}).(**countedConn); ok {
+	c := &trackedConn{Conn: nc}
+	if p, ok := ctx.Value(socketKey{}).(**trackedConn); ok {
 		*p = c
 	}
 	return c, nil
 }
 
-func (c *countedConn) Write(b []byte) (int, error) {
+func (c *trackedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
@@ -49,8 +49,8 @@
 	return n, err
 }
 
-// Close closes the connection, which ends the writing of the request, and with it the wait of end.
-func (c *countedConn) Close() error {
+// Close closes the connection. That ends the writing of the request, and a wait for it in end.
+func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
 	c.request.wrote(net.ErrClosed)
 	return err
@@ -58,7 +58,7 @@
 
 // bytesWritten returns how many bytes the kernel accepted. A write in progress ends
 // first, so that the count is final once the connection is closed.
-func (c *countedConn) bytesWritten() int64 {
+func (c *trackedConn) bytesWritten() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.written
@@ -66,7 +66,7 @@
 
 // Read reads within the bounds of a head, while one is read. It returns io.EOF at the end of an
 // answer without a length only if the answer may be whole (see CheckEnd).
-func (c *countedConn) Read(b []byte) (int, error) {
+func (c *trackedConn) Read(b []byte) (int, error) {
 	for {
 		limit, err := c.head.allowed(len(b))
 		if err != nil {
@@ -90,9 +90,9 @@
 // end returns what a read returns at the end of the connection: io.EOF, or an error if that is also
 // the end of an answer which is not known to be whole, as far as the connection knows (see CheckEnd). A
 // target may end its answer before it has read the request, so end waits until the request is
-// written. That ends at the latest when the connection is closed.
-func (c *countedConn) end() error {
-	if !c.request.awaitWritten() {
+// written, at the longest until the connection is closed.
+func (c *trackedConn) end() error {
+	if !c.request.awaitWriteEnd() {
 		return io.EOF
 	}
 	c.mu.Lock() // the last part of the request may be in a write that goes on
--- a/upstream/end.go
+++ b/upstream/end.go
@@ -19,9 +19,9 @@
 type requestState struct {
 	mu         sync.Mutex
 	endsAnswer bool          // the end of the connection is that of the answer
-	written    bool          // the request was written, or its writing has failed
+	writeEnded bool          // the request was written, or its writing has failed
 	failure    error         // the first failure of the connection that was not told to a read
-	waiting    chan struct{} // closed when written is set; nil: nobody waits
+	waiting    chan struct{} // closed when writeEnded is set; nil: nobody waits
 
 	hasHead       bool // the head of the answer was received
 	informational int  // heads before that one
@@ -85,7 +85,7 @@
 func (r *requestState) begin() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.endsAnswer, r.written, r.waiting = false, false, nil
+	r.endsAnswer, r.writeEnded, r.waiting = false, false, nil
 	r.hasHead, r.informational, r.lines = false, 0, lineGuard{}
 }
 
@@ -126,7 +126,7 @@
 	r.fail(err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.written = true
+	r.writeEnded = true
 	if r.waiting != nil {
 		close(r.waiting)
 		r.waiting = nil
@@ -148,11 +148,11 @@
 	return r.failure
 }
 
-// awaitWritten waits until the request is written if the end of the connection is that of the
-// answer, and reports whether it is.
-func (r *requestState) awaitWritten() bool {
+// awaitWriteEnd reports whether the end of the connection is that of the answer. If so, it first
+// waits until the writing of the request has ended.
+func (r *requestState) awaitWriteEnd() bool {
 	r.mu.Lock()
-	if !r.endsAnswer || r.written {
+	if !r.endsAnswer || r.writeEnded {
 		defer r.mu.Unlock()
 		return r.endsAnswer
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -91,7 +91,7 @@
 	conn struct {
 		pool      *Pool
 		http      *http.ClientConn
-		sock      *countedConn
+		sock      *trackedConn
 		trace     *httptrace.ClientTrace
 		idleSince clock.Time
 		maxIdle   time.Duration
@@ -290,7 +290,7 @@
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	var sock *countedConn
+	var sock *trackedConn
 	hc, err := transport.NewClientConn(context.WithValue(dialCtx, socketKey{}, &sock), "http", p.addr)
 	if err != nil {
 		p.mu.Lock()
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -200,9 +200,9 @@
 	connect := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := connect(ctx, network, addr)
-		if counted, ok := c.(*countedConn); ok {
-			conn = &resetConn{Conn: counted.Conn}
-			counted.Conn = conn
+		if tracked, ok := c.(*trackedConn); ok {
+			conn = &resetConn{Conn: tracked.Conn}
+			tracked.Conn = conn
 		}
 		return c, err
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -25,17 +25,17 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: c}, nil
+		return &trackedConn{Conn: c}, nil
 	}
 	return &Transport{http: t}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var conn atomic.Pointer[countedConn] // set anew if net/http sends the request once more
+	var conn atomic.Pointer[trackedConn] // set anew if net/http sends the request once more
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			c := info.Conn.(*countedConn)
+			c := info.Conn.(*trackedConn)
 			c.request.begin()
 			conn.Store(c)
 		},
