upstream: an answer of HTTP/1.0 in chunks is no answer

What callers saw: the chunks' own bytes ("6\r\nanswer\r\n0\r\n\r\n") as the body of a complete 200, for calls of all four kinds (MIXED: a body that isn't the server's whole body).

Fix: lineGuard, which sees the bytes of each head before net/http does, also finds the field; the head is then refused where all heads are judged, for every client of the program. RFC 9112, section 6.1, calls the framing of such an answer faulty. An answer of HTTP/1.0 with a length, or with neither, is accepted as before.

--- a/upstream/end.go
+++ b/upstream/end.go
@@ -115,7 +115,7 @@
 	defer r.mu.Unlock()
 	r.hasHead = true
 	r.endsAnswer = !Delimited(resp)
-	if err := r.lines.check(r.informational + 1); err != nil {
+	if err := r.lines.check(resp, r.informational+1); err != nil {
 		return err
 	}
 	return checkHead(resp)
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -13,6 +13,9 @@
 	// section 15).
 	minStatus = 200
 	maxStatus = 599
+
+	// encodingField is the name of the field with the encodings of a body, and its end.
+	encodingField = "transfer-encoding:"
 )
 
 var (
@@ -20,15 +23,23 @@
 	ErrBadHead = errors.New("upstream: head of the answer is invalid")
 
 	errFoldedLine = fmt.Errorf("%w: line begins with a blank", ErrBadHead)
+	errOldChunks  = fmt.Errorf("%w: Transfer-Encoding in an answer of HTTP/1.0", ErrBadHead)
 )
 
-// lineGuard finds lines of heads that begin with a blank. net/textproto joins such a line to the
-// one before it, as it was once folded, so that nothing is left of a name which a blank precedes.
-// RFC 9112, section 5.2, asks a gateway to refuse such an answer or to join the lines.
+// lineGuard finds lines of heads of which net/http leaves nothing. Heads are counted from 1.
+//
+// net/textproto joins a line that begins with a blank to the one before it, as it was once folded,
+// so that nothing is left of a name which a blank precedes. RFC 9112, section 5.2, asks a gateway to
+// refuse such an answer or to join the lines.
+//
+// net/http drops Transfer-Encoding from an answer of HTTP/1.0, and passes its chunks as the body. The
+// framing of such an answer is faulty by RFC 9112, section 6.1.
 type lineGuard struct {
-	inLine bool // the current line has a byte
-	heads  int  // empty lines so far, each the end of a head; what follows the last head counts too
-	folded int  // the first head that has a line which begins with a blank, from 1; 0: none so far
+	inLine  bool // the current line has a byte
+	matched int  // bytes of encodingField with which the current line begins; -1: it begins otherwise
+	heads   int  // empty lines so far, each the end of a head; what follows the last head counts too
+	folded  int  // the first head that has a line which begins with a blank; 0: none so far
+	encoded int  // the first head that has encodingField; 0: none so far
 }
 
 // checkHead returns an error that wraps ErrBadHead if the head of an answer, as net/http has
@@ -65,21 +76,43 @@
 			if !g.inLine {
 				g.heads++
 			}
-			g.inLine = false
+			g.inLine, g.matched = false, 0
 		case c == '\r': // of a line break, or net/http refuses it
 		case !g.inLine && (c == ' ' || c == '\t') && g.folded == 0:
 			g.folded = g.heads + 1
 			g.inLine = true
 		default:
 			g.inLine = true
+			g.matchEncoding(c)
 		}
 	}
 }
 
-// check returns an error if one of the first n heads has a line that begins with a blank.
-func (g *lineGuard) check(n int) error {
+// matchEncoding compares the next byte of a line with encodingField.
+func (g *lineGuard) matchEncoding(c byte) {
+	if g.matched < 0 || g.matched == len(encodingField) {
+		return
+	}
+	if 'A' <= c && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	if c != encodingField[g.matched] {
+		g.matched = -1
+		return
+	}
+	if g.matched++; g.matched == len(encodingField) && g.encoded == 0 {
+		g.encoded = g.heads + 1
+	}
+}
+
+// check returns an error if one of the first n heads has a line that begins with a blank, or an
+// encoding that the protocol of resp, the answer with the n-th head, doesn't know.
+func (g *lineGuard) check(resp *http.Response, n int) error {
 	if g.folded > 0 && g.folded <= n {
 		return errFoldedLine
 	}
+	if g.encoded > 0 && g.encoded <= n && !resp.ProtoAtLeast(1, 1) {
+		return errOldChunks
+	}
 	return nil
 }
--- a/upstream/odd_heads_test.go
+++ b/upstream/odd_heads_test.go
@@ -21,6 +21,9 @@
 // Guards against an answer with an invalid status.
 func TestOddStatuses(t *testing.T) { checkHeads(t, "testdata/odd_statuses.yaml") }
 
+// Guards against the chunks of an answer of HTTP/1.0, which has none, that are passed on as its body.
+func TestOddEncodings(t *testing.T) { checkHeads(t, "testdata/odd_encodings.yaml") }
+
 // checkHeads asks a target for each answer of a file, and checks which the pool accepts.
 func checkHeads(t *testing.T, file string) {
 	type answerHead struct {
