downstream: clients of HTTP/1.0 are refused with 505

Cause: net/http marks an answer of unknown length with chunks for HTTP/1.1 only. When a handler gives up with http.ErrAbortHandler, all it can do on HTTP/1.0 is to close, which is the mark of a whole answer there.

Readiness checks stay open to HTTP/1.0: their answers have no body, and probes of load balancers speak it. Counted as connections_closed_protocol_LISTENER.

Evidence: TestClientsOfHTTP10AreRefused failed before (the requests ran and got 200), and passes.

--- a/downstream/downstream.go
+++ b/downstream/downstream.go
@@ -58,6 +58,7 @@
 	boundIdleTime    bound = "idle_time"
 	boundBodyTime    bound = "body_time"
 	boundDrain       bound = "drain"
+	boundProtocol    bound = "protocol"
 )
 
 // NewGuard returns a guard that lets clients take the given number of bytes; 0: no limit.
--- a/downstream/downstream_test.go
+++ b/downstream/downstream_test.go
@@ -295,3 +295,19 @@
 	assert.LessOrEqual(t, held, int64(cost))
 	runtime.KeepAlive(kept)
 }
+
+// Guards against an answer to a client of HTTP/1.0 that was cut off and looks whole: without
+// chunks, an answer that has no length ends with its connection.
+func TestClientsOfHTTP10AreRefused(t *testing.T) {
+	s := newTestServer(t, 0, ragworthitch.Limits{HeaderBytes: 1 << 10, BodyBytes: 1 << 10})
+	for _, head := range []string{"GET / HTTP/1.0\r\n\r\n", "GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", "POST / HTTP/1.0\r\nContent-Length: 3\r\n\r\nask"} {
+		c := s.dial()
+		c.send(head)
+		assert.Equal(t, http.StatusHTTPVersionNotSupported, c.status(), head)
+		assert.True(t, c.isClosed(waitTime), head)
+	}
+	assert.Zero(t, s.runs.Load())
+	c := s.dial()
+	c.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, http.StatusOK, c.status())
+}
--- a/downstream/handler.go
+++ b/downstream/handler.go
@@ -52,6 +52,10 @@
 func (l *Listener) beginCall(c *conn, r *http.Request) (status int) {
 	size, fields := headSize(r)
 	held := c.beginCall(size, fields)
+	if !l.cfg.AcceptsHTTP10 && !r.ProtoAtLeast(1, 1) {
+		l.countClosed(boundProtocol, c.RemoteAddr())
+		return http.StatusHTTPVersionNotSupported
+	}
 	if limit := l.cfg.Limits().HeaderBytes; limit > 0 && size > limit {
 		l.countClosed(boundHead, c.RemoteAddr())
 		return http.StatusRequestHeaderFieldsTooLarge
--- a/downstream/listener.go
+++ b/downstream/listener.go
@@ -39,6 +39,9 @@
 		Limits func() ragworthitch.Limits
 		// WriteTimeout bounds each write by handlers that set no deadline; 0: none.
 		WriteTimeout time.Duration
+		// AcceptsHTTP10 serves clients of HTTP/1.0 as well: no answer is long enough to be cut
+		// off. Without chunks, an answer without a length that is cut off looks whole to them.
+		AcceptsHTTP10 bool
 	}
 
 	// Listener serves the clients of one address. Create it with Guard.Wrap.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -202,7 +202,7 @@
 	p.Go(i.runGate)
 	i.callListener, i.callServer = i.serve(p, i.gate.Listen(callListener), downstream.ListenerConfig{Name: "callers", MaxConns: i.maxConns(callerConnFraction), Limits: i.limits},
 		&platform.CallHandler{Handler: i.handler, Limits: i.limits, Memory: i.clients.Memory(), Log: i.log})
-	i.serve(p, readinessListener, downstream.ListenerConfig{Name: "readiness", MaxConns: i.maxConns(readinessConnFraction), Limits: internalLimits}, platform.Ready(i.Ready))
+	i.serve(p, readinessListener, downstream.ListenerConfig{Name: "readiness", MaxConns: i.maxConns(readinessConnFraction), Limits: internalLimits, AcceptsHTTP10: true}, platform.Ready(i.Ready))
 	i.serveInternal(p)
 	p.Go(func(lifetime context.Context) error {
 		select {
