registry, discovery, relay: what is left of a target's removed entry tells its late writes

Cause: the store may carry out a check-in seconds late, also after the removal. The registry forgot a removed target whole, so that any later row of it was a new target. Beside it, in logs of a whole-instance test: an instance that asks a peer for the table is told of one heartbeat in ten seconds, and knew number 2 where 8 had been written; there the numbers alone tell nothing.

Change: - One type, `registry.removal`, is what is remembered of a boot at an address after its registration was removed: the highest number, when the removal was read, whether the target left. Put asks it when the boot isn't known; it keeps the last 8192. - A registration no newer than the last before the removal is set aside (`Late`). So is any, if the removal was read less than 2.5 heartbeats after the last write: an entry lapses after three heartbeats of silence, so that such a target has left. `writtenAfter` is a lower bound of the time of the write (the reader's last complete state), so that a late reader, a frozen one or one that is told little never finds too much. - What is set aside is kept, and counts again if it still exists 10 s and three heartbeats after the removal (a late write would have lapsed), not counting time in which the store was unavailable. A target whose address a late entry takes counts again when that entry lapses; it was lost until it had written for 3 s. - Registrations of a known boot that precede the last one change nothing, also while its removal is doubted. Draining without a start time is covered by the number. - Relays keep the last value of a removed row for 60 s, send it with the removal, and don't send rows that are set aside. - The product's own entry instance numbers registrations per process: a target that came back was numbered anew.

Living targets get calls as soon as before: lapsed and back, next boot by start time, other address, other id at the address.

--- a/discovery/changelog.go
+++ b/discovery/changelog.go
@@ -59,7 +59,7 @@
 		targets := l.targets[change]
 		if l.count <= maxDetailedLines {
 			for _, target := range targets {
-				change.event(log, age).Str("target", target.ID()).Int64("started", target.Boot().Started()).Str("address", target.Address()).
+				change.event(log, age).Str("target", target.ID()).Int64("started", target.Boot().Started()).Str("address", target.Address()).Int64("sequence", target.Sequence()).
 					Msg(change.message("target entry read", "target entry gone"))
 			}
 			continue
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworthitch/ragworthitch"
 	"github.com/ragworthitch/ragworthitch/clock"
@@ -22,8 +23,9 @@
 const lapsedEntryGrace = 2200 * time.Millisecond
 
 type (
-	// TargetRow is a target's entry in the store. Target is set unless the entry is gone
-	// or unreadable.
+	// TargetRow is a target's entry in the store. Target is set unless the entry is
+	// unreadable. If the entry is gone, Target is the last one before its removal, or empty
+	// if the reader doesn't know it.
 	TargetRow struct {
 		ID         string
 		Target     ragworthitch.Target
@@ -86,8 +88,11 @@
 		desiredState *desired.Tracker
 		log          zerolog.Logger
 		// Rollouts receives the versions of targets; may be nil.
-		Rollouts      *rollout.Tracker
+		Rollouts *rollout.Tracker
+		// SetAside counts the late entries that were set aside; may be nil.
+		SetAside      tally.Counter
 		unavailableAt clock.Time // when the store was last unavailable; 0: never
+		completeAt    clock.Time // all changes up to then have been applied; 0: none
 		onRead        func()
 		changes       changeLog
 	}
@@ -183,7 +188,10 @@
 }
 
 // MarkUnavailable records that the store was unavailable at a time.
-func (s *TargetSink) MarkUnavailable(at clock.Time) { s.unavailableAt = at }
+func (s *TargetSink) MarkUnavailable(at clock.Time) {
+	s.unavailableAt = at
+	s.targets.RecordUnavailable(at)
+}
 
 // Replace applies the whole table and removes targets that it doesn't contain.
 func (s *TargetSink) Replace(rows []TargetRow, at clock.Time) {
@@ -191,7 +199,7 @@
 	for _, row := range rows {
 		present[row.ID] = true
 	}
-	for _, id := range s.targets.IDs() {
+	for _, id := range slices.Concat(s.targets.IDs(), s.targets.AsideIDs()) {
 		if !present[id] {
 			s.remove(id)
 		}
@@ -214,6 +222,9 @@
 	for _, row := range rows {
 		switch {
 		case row.Gone:
+			if row.Target.ID() != "" {
+				s.targets.RecordRemoved(row.Target)
+			}
 			s.remove(row.ID)
 		case row.Unreadable || s.changesService(row.Target):
 			s.markUnreadable(row.ID)
@@ -221,7 +232,10 @@
 			s.put(row.Target)
 		}
 	}
-	s.targets.Expire(clock.Now())
+	for _, a := range s.targets.Expire(clock.Now()) {
+		s.logAsideEnd(a, "counts again")
+	}
+	s.completeAt = max(s.completeAt, at)
 	s.changes.flush(s.log, clock.Now().Sub(at))
 }
 
@@ -258,12 +272,36 @@
 	if s.Rollouts != nil && t.Version() != "" {
 		s.Rollouts.RecordVersion(t.Service(), t.Version(), clock.Now())
 	}
-	outcome := s.targets.Put(t, maxConns)
-	if changed || outcome != registry.Known {
+	wasAside := s.targets.AsideByID(t.ID()) != nil
+	outcome := s.targets.PutWritten(t, maxConns, s.completeAt)
+	switch {
+	case outcome == registry.Late && !wasAside:
+		s.logAside(s.targets.AsideByID(t.ID()))
+	case outcome == registry.Late:
+	case changed || outcome != registry.Known:
 		s.changes.add(targetChange{outcome: outcome, zone: t.Zone(), service: t.Service(), draining: t.Draining()}, t)
 	}
 }
 
+// logAside logs that an entry is set aside.
+func (s *TargetSink) logAside(a *registry.Aside) {
+	if s.SetAside != nil {
+		s.SetAside.Inc(1)
+	}
+	asideEvent(s.log, a).Msg("discovery: late target entry set aside; the target had left before")
+}
+
+// logAsideEnd logs that an entry is no longer set aside, and why.
+func (s *TargetSink) logAsideEnd(a *registry.Aside, cause string) {
+	asideEvent(s.log, a).Str("cause", cause).Dur("after", clock.Now().Sub(a.Since())).Msg("discovery: target entry no longer set aside")
+}
+
+func asideEvent(log zerolog.Logger, a *registry.Aside) *zerolog.Event {
+	t := a.Target()
+	return log.Info().Str("target", t.ID()).Int64("started", t.Boot().Started()).Str("address", t.Address()).Str("service", t.Service()).Int64("sequence", t.Sequence()).
+		Int64("lastSequence", a.LastSequence()).Bool("left", a.Left()).Dur("removedFor", clock.Now().Sub(a.RemovedAt()))
+}
+
 // remove removes a target, or schedules its removal if its entry may have lapsed only
 // because the store was unavailable.
 func (s *TargetSink) remove(id string) {
@@ -276,5 +314,8 @@
 		t := m.Target()
 		s.changes.add(targetChange{outcome: outcomeGone, zone: t.Zone(), service: t.Service(), draining: t.Draining(), held: removeAt > now}, t)
 	}
+	if a := s.targets.AsideByID(id); a != nil {
+		s.logAsideEnd(a, "removed")
+	}
 	s.targets.Unregister(id, now, removeAt)
 }
--- a/entry/agents.go
+++ b/entry/agents.go
@@ -38,8 +38,7 @@
 		leaseSeenAt time.Time  // when a valid lease row was last read
 		agentConn   *agentConn // nil while its agent is not connected
 		isDialing   bool
-		isHealthy   bool  // in the agent's last load report
-		sequence    int64 // number of the last registration
+		isHealthy   bool // in the agent's last load report
 		// drainingEpoch is the epoch of the lease in which the agent said that the target is
 		// draining; 0: none.
 		drainingEpoch uint64
@@ -158,7 +157,7 @@
 	t.lease, t.leaseSeenAt = lease, now
 	switch {
 	case t.agentConn != nil:
-		e.members.Put(t.registryTarget(), 0)
+		e.members.Put(e.registryTarget(t), 0)
 	case !t.isDialing:
 		t.isDialing = true
 		go e.dial(ctx, lease.Target, lease.Agent)
@@ -167,17 +166,17 @@
 
 // registryTarget converts the target for the registry. An unhealthy target, and one whose
 // agent has said so during its current lease, is marked as draining, so that it gets no new
-// calls. Each registration has the next sequence number, as one that doesn't follow a draining
-// one is ignored.
-func (t *target) registryTarget() ragworthitch.Target {
-	t.sequence++
+// calls. Each registration has the next sequence number of this process, as one that doesn't
+// follow the last one of the target is ignored. The caller holds e.mu.
+func (e *Entry) registryTarget(t *target) ragworthitch.Target {
+	e.registrations++
 	services := t.lease.Models
 	if t.lease.Kind != settings.KindEngine || len(services) == 0 {
 		services = []string{t.lease.Kind}
 	}
 	draining := t.lease.Draining || !t.isHealthy || t.drainingEpoch != 0 && t.drainingEpoch == t.lease.Epoch
 	return ragworthitch.NewTarget(ragworthitch.TargetParams{ID: t.lease.Target, Service: services[0], OtherServices: services[1:],
-		Address: t.lease.Agent, Zone: t.lease.Zone, Draining: draining, Sequence: t.sequence})
+		Address: t.lease.Agent, Zone: t.lease.Zone, Draining: draining, Sequence: e.registrations})
 }
 
 // countConnected returns the number of connected agents. The caller holds e.mu.
@@ -213,7 +212,7 @@
 	}
 	ac := &agentConn{conn: c}
 	t.agentConn = ac
-	e.members.Put(t.registryTarget(), 0)
+	e.members.Put(e.registryTarget(t), 0)
 	e.mu.Unlock()
 	e.log.Info().Str("target", name).Msg("entry: connected to agent")
 	e.readMessages(ctx, name, ac)
@@ -275,7 +274,7 @@
 		return
 	}
 	t.drainingEpoch = t.lease.Epoch
-	e.members.Put(t.registryTarget(), 0)
+	e.members.Put(e.registryTarget(t), 0)
 	e.log.Info().Str("target", name).Str("request", m.RequestID).Uint64("epoch", t.lease.Epoch).Bool("leaseDraining", t.lease.Draining).Msg("entry: target's agent says that it is draining")
 }
 
@@ -286,7 +285,7 @@
 	e.mu.Lock()
 	if t := e.targets[name]; t != nil && t.agentConn != nil && t.isHealthy != m.Healthy {
 		t.isHealthy = m.Healthy
-		e.members.Put(t.registryTarget(), 0)
+		e.members.Put(e.registryTarget(t), 0)
 	}
 	e.mu.Unlock()
 	if member := e.members.ByID(name); member != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 
 		mu      sync.Mutex
 		targets map[string]*target
+		// registrations is the sequence number of the last registration of a target.
+		registrations int64
 
 		streams  [streamShards]streamShard
 		finished finishedStreams
--- a/instance/follow.go
+++ b/instance/follow.go
@@ -60,9 +60,14 @@
 			return i.store.Changes(ctx, table, after, 0)
 		})
 	}
+	targets := newCache(platform.TableTargets, platform.SameTarget, i.relayWait())
+	targets.IgnoreLateWrites(func(row platform.StoredRow) bool {
+		t, ok := platform.TargetOf(row)
+		return ok && i.targets.IsSetAside(t)
+	})
 	return map[string]*relay.Cache{
 		platform.TableOperator:  newCache(platform.TableOperator, bothDeleted, min(i.relayWait(), i.desiredWait())),
-		platform.TableTargets:   newCache(platform.TableTargets, platform.SameTarget, i.relayWait()),
+		platform.TableTargets:   targets,
 		platform.TableInstances: newCache(platform.TableInstances, bothDeleted, peerWait),
 	}
 }
@@ -119,7 +124,7 @@
 
 	targetReader := newReader(platform.TableTargets, false)
 	targetSink := discovery.NewTargetSink(&i.targets, i.desiredState, i.log, func() { i.targetsRead.Store(true) })
-	targetSink.Rollouts = &i.rollouts
+	targetSink.Rollouts, targetSink.SetAside = &i.rollouts, i.setAside
 	p.Go((&discovery.Follower[discovery.TargetRow]{Name: platform.TableTargets, Log: i.log,
 		Source:  platform.TargetTable{Reader: storeReader(platform.TableTargets), Unreadable: i.unreadable},
 		Relay:   relayedTable[discovery.TargetRow]{platform.TargetTable{Reader: targetReader, Unreadable: i.unreadable}, targetReader},
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -109,6 +109,7 @@
 	permits        ratelimit.Pool // of targets with a rate limit
 	locations      locationBuffer // cache locations to write to the store
 	poisonTracker  poison.Tracker
+	setAside       tally.Counter     // late entries of targets; nil: not counted
 	shares         fairshare.Tracker // usage of organisations at all instances
 	rollouts       rollout.Tracker
 	startedAt      clock.Time
@@ -135,6 +136,10 @@
 		i.gate.OnRefuse = func() { scope.Counter("connections_refused").Inc(1) }
 	}
 	i.poisonTracker.Log, i.poisonTracker.Scope = log, scope
+	i.targets.Heartbeat = settings.Heartbeat()
+	if scope != nil {
+		i.setAside = scope.Counter("target_entries_set_aside")
+	}
 	i.rollouts.Log, i.rollouts.Share, i.rollouts.ShareGiven = log, bounds.CanaryShare, true
 	i.rollouts.Slack, i.rollouts.Instances = bounds.CanarySlack, i.instanceCount
 	i.rollouts.Self = rollout.Writer{Node: settings.Node(), Started: time.Now().UnixMilli()}
--- a/registry/draining.go
+++ b/registry/draining.go
@@ -63,8 +63,9 @@
 }
 
 // location returns where the member's boot is.
-func (m *Member) location() location {
-	t := m.Target()
+func (m *Member) location() location { return locationOf(m.Target()) }
+
+func locationOf(t ragworthitch.Target) location {
 	return location{boot: t.Boot(), address: t.Address()}
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -25,9 +25,12 @@
 
 // Outcomes of Put.
 const (
-	// Ignored: the registration is of an ended boot, precedes the one in which the
-	// boot started to drain, or lacks the start time that others have.
+	// Ignored: the registration is of an ended boot, precedes the known one of the boot, or
+	// lacks the start time that others have.
 	Ignored Outcome = "ignored"
+	// Late: the registration precedes the removal of the boot's registration, and is set
+	// aside.
+	Late Outcome = "late"
 	// Known: the boot was known, and its registration has been updated.
 	Known Outcome = "known"
 	// Added: the target was unknown.
@@ -45,13 +48,19 @@
 
 	// Registry is the set of known targets. The zero value is empty and ready to use.
 	Registry struct {
+		// Heartbeat is the interval at which targets write their registrations; 0: 1.2 s.
+		Heartbeat time.Duration
+
 		mu                 sync.RWMutex
 		byID               map[string]*Member
 		byAddr             map[string]*Member // the newest at each address
 		services           map[string]*serviceMembers
 		ended              bounded.Map[string, endedBoots] // by id
-		lateRegistrations  map[string]lateRegistration     // by id
-		staleRegistrations map[serviceZone][]clock.Time    // times at which they were found
+		removals           bounded.Map[location, removal]
+		aside              map[string]*Aside            // by id
+		unavailableAt      clock.Time                   // when the store was last unavailable; 0: never
+		lateRegistrations  map[string]lateRegistration  // by id
+		staleRegistrations map[serviceZone][]clock.Time // times at which they were found
 
 		busyMu      sync.Mutex
 		busy        map[*Member]bool // targets with load from this instance
@@ -87,6 +96,10 @@
 
 		mu               sync.Mutex
 		target           ragworthitch.Target
+		sequence         int64      // the highest of the boot's registrations
+		writtenAfter     clock.Time // a time before the write of that one; 0: unknown
+		left             bool       // the registration vanished too soon to have lapsed
+		maxConns         int        // that the target accepts from all callers; 0: unknown
 		coldUntil        clock.Time // end of the slow phase after the target's start
 		expiresAt        clock.Time // end of the grace period after the registration vanished; 0: registered
 		unreadable       bool       // the registration can't be decoded
@@ -150,6 +163,11 @@
 // writer. A target whose address a new target registers has ended: the registration of a
 // crashed target expires seconds after its successor's has arrived.
 func (r *Registry) Put(t ragworthitch.Target, maxConns int) Outcome {
+	return r.PutWritten(t, maxConns, 0)
+}
+
+// PutWritten is like Put for a registration that was written after a time; 0: unknown.
+func (r *Registry) PutWritten(t ragworthitch.Target, maxConns int, writtenAfter clock.Time) Outcome {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.makeMaps()
@@ -171,7 +189,10 @@
 	}
 	delete(r.lateRegistrations, t.ID())
 	if m != nil && t.Boot() == m.Target().Boot() && t.Address() == m.Target().Address() {
-		return r.update(m, t, maxConns)
+		return r.update(m, t, maxConns, writtenAfter)
+	}
+	if r.setAside(t, maxConns) {
+		return Late
 	}
 	if old := r.byAddr[t.Address()]; old != nil && old != m {
 		if started == 0 && old.Target().Boot().Started() != 0 {
@@ -179,6 +200,7 @@
 		}
 		r.endBoot(old.Target().Boot())
 		r.drop(old)
+		r.setAsideTaken(old)
 	}
 	outcome := Added
 	if m != nil {
@@ -192,17 +214,10 @@
 	if aliveAgain {
 		r.ended.Delete(t.ID()) // retire has recorded its earlier boots
 	}
-	r.add(t, maxConns)
+	r.add(t, maxConns, writtenAfter)
 	return outcome
 }
 
-// precedesDraining reports whether a registration was written before the known one,
-// in which the target drains. Writes may reach the store seconds late, and a
-// draining boot doesn't return.
-func precedesDraining(t, known ragworthitch.Target) bool {
-	return known.Draining() && !t.Draining() && t.Sequence() <= known.Sequence()
-}
-
 // mostStateStart reports whether most of the known targets have stated their start time;
 // r.mu is held.
 func (r *Registry) mostStateStart() bool {
@@ -219,6 +234,7 @@
 	if r.byID == nil {
 		r.byID, r.byAddr = map[string]*Member{}, map[string]*Member{}
 		r.services, r.ended.Max = map[string]*serviceMembers{}, maxEndedBoots
+		r.aside = map[string]*Aside{}
 		r.staleRegistrations, r.lateRegistrations = map[serviceZone][]clock.Time{}, map[string]lateRegistration{}
 	}
 }
@@ -227,29 +243,30 @@
 func maxOwnConns(maxConns int) int { return int(maxConnShare * float64(maxConns)) }
 
 // add adds a target's member; r.mu is held.
-func (r *Registry) add(t ragworthitch.Target, maxConns int) {
-	m := &Member{addedAt: clock.Now(), conns: upstream.NewPool(t.Address(), maxOwnConns(maxConns)), target: t, asked: &asked{}, coldUntil: clock.Now().Add(t.WarmupRemaining())}
+func (r *Registry) add(t ragworthitch.Target, maxConns int, writtenAfter clock.Time) {
+	m := &Member{addedAt: clock.Now(), conns: upstream.NewPool(t.Address(), maxOwnConns(maxConns)), target: t, sequence: t.Sequence(), writtenAfter: writtenAfter, maxConns: maxConns, asked: &asked{}, coldUntil: clock.Now().Add(t.WarmupRemaining())}
 	m.life, m.end = context.WithCancelCause(context.Background())
 	m.work.onChange = func(busy bool) { r.setBusy(m, busy) }
 	m.onLimited = func() { r.addLimited(m) }
 	m.onDraining = func(s drainingSource) { r.addDraining(m, s) }
 	r.restoreDraining(m)
 	r.restoreAsked(m)
+	r.removals.Delete(m.location())
+	delete(r.aside, t.ID())
 	r.byID[t.ID()], r.byAddr[t.Address()] = m, m
 	r.addToServices(m)
 }
 
 // update applies a newer registration of a known boot; r.mu is held.
-func (r *Registry) update(m *Member, t ragworthitch.Target, maxConns int) Outcome {
-	known := m.Target()
-	if precedesDraining(t, known) {
+func (r *Registry) update(m *Member, t ragworthitch.Target, maxConns int, writtenAfter clock.Time) Outcome {
+	if m.precedesKnown(t) {
 		return Ignored
 	}
-	if slices.Equal(t.Services(), known.Services()) {
-		m.update(t)
+	if slices.Equal(t.Services(), m.Target().Services()) {
+		m.update(t, maxConns, writtenAfter)
 	} else {
 		r.removeFromServices(m)
-		m.update(t)
+		m.update(t, maxConns, writtenAfter)
 		r.addToServices(m)
 	}
 	m.conns.SetLimit(maxOwnConns(maxConns))
@@ -257,10 +274,13 @@
 }
 
 // update applies a newer registration of the same boot.
-func (m *Member) update(t ragworthitch.Target) {
+func (m *Member) update(t ragworthitch.Target, maxConns int, writtenAfter clock.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expiresAt, m.unreadable, m.target = 0, false, t
+	if t.Sequence() > m.sequence {
+		m.sequence, m.writtenAfter = t.Sequence(), writtenAfter
+	}
+	m.expiresAt, m.unreadable, m.target, m.maxConns = 0, false, t, maxConns
 	m.coldUntil = clock.Now().Add(t.WarmupRemaining())
 }
 
@@ -292,28 +312,30 @@
 
 // Unregister records that a target's registration is gone. The target may get
 // calls until the given time, as registrations also lapse while the store is
-// unavailable. If until isn't after now, the target is removed at once.
+// unavailable. If until isn't after now, or if the registration can't have lapsed, the
+// target is removed at once.
 func (r *Registry) Unregister(id string, now, until clock.Time) {
-	r.mu.RLock()
+	r.mu.Lock()
+	delete(r.aside, id)
 	m := r.byID[id]
-	r.mu.RUnlock()
+	r.mu.Unlock()
 	if m == nil {
 		return
 	}
-	if until <= now {
-		r.removeUnregistered(m)
-		return
-	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.expiresAt == 0 {
-		m.expiresAt = until
+		m.expiresAt, m.left = until, m.hasLeft(now, r.heartbeat())
+	}
+	removed := m.left || until <= now
+	m.mu.Unlock()
+	if removed {
+		r.removeUnregistered(m)
 	}
 }
 
 // Expire removes the targets whose grace period after the end of their registration
-// has passed.
-func (r *Registry) Expire(now clock.Time) {
+// has passed. It returns the registrations that were set aside and count again.
+func (r *Registry) Expire(now clock.Time) (restored []*Aside) {
 	r.mu.RLock()
 	var out []*Member
 	for _, m := range r.byID {
@@ -327,12 +349,14 @@
 	for _, m := range out {
 		r.removeUnregistered(m)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restoreAside(now)
 }
 
 // removeUnregistered removes a target whose registration is gone. If the boot was
-// draining it is recorded as ended, so that a delayed write doesn't add it again.
-// Without a start time, the boot can't be told from the next boot, so the end isn't
-// recorded.
+// draining it is recorded as ended. Without a start time, the boot can't be told from the
+// next boot, so the end isn't recorded.
 func (r *Registry) removeUnregistered(m *Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -342,13 +366,15 @@
 	r.drop(m)
 }
 
-// drop removes m from the registry; r.mu is held.
+// drop removes m from the registry and keeps what is needed to tell late writes of its
+// registration; r.mu is held.
 func (r *Registry) drop(m *Member) {
 	t := m.Target()
 	if r.byID[t.ID()] != m {
 		return
 	}
 	delete(r.byID, t.ID())
+	r.keepRemoval(m.location(), m.removal())
 	r.endEarlierBoots(t.Boot())
 	if r.byAddr[t.Address()] == m {
 		delete(r.byAddr, t.Address())
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -45,7 +45,10 @@
 	// that it can answer as soon as peers ask. Create it with NewCache.
 	Cache struct {
 		unchanged func(a, b platform.StoredRow) bool
-		maxWait   time.Duration
+		// isLate reports whether a removed row was written again by a late write; nil: values
+		// of removed rows are not kept.
+		isLate  func(row platform.StoredRow) bool
+		maxWait time.Duration
 
 		historyTurn chan struct{} // holds a value while earlier changes are read
 		// readHistory reads the changes after a version from the store; nil: peers that
@@ -88,6 +91,13 @@
 		updated: make(chan struct{}), questioned: make(chan struct{})}
 }
 
+// IgnoreLateWrites makes the cache keep the last value of a removed row, send it along with
+// the removal, and ignore writes of the row that isLate finds to precede the removal. It is
+// called before the cache is used.
+func (c *Cache) IgnoreLateWrites(isLate func(row platform.StoredRow) bool) {
+	c.isLate = isLate
+}
+
 // ServesPeers reports whether peers ask this instance for the table. If not, it
 // returns a channel that is closed at the next question.
 func (c *Cache) ServesPeers(now clock.Time) (bool, <-chan struct{}) {
@@ -202,6 +212,14 @@
 	if cached != nil && cached.row.Version == r.Version && !r.Deleted {
 		return // known already; the whole table was read again
 	}
+	if cached != nil && c.isLate != nil {
+		if cached.row.Deleted && !r.Deleted && c.isLate(r) {
+			return
+		}
+		if r.Deleted && len(r.Value) == 0 && cached.row.Err == nil {
+			r.Value = cached.row.Value
+		}
+	}
 	if cached == nil || !c.unchanged(cached.row, r) {
 		c.rows[r.Key] = &cachedRow{row: r, sendVersion: version, sendVersionAt: now, changedAt: now}
 		c.addSend(version, r.Key)
@@ -287,7 +305,7 @@
 	}
 	if q.Whole {
 		for _, cached := range c.rows {
-			if !cached.row.Deleted {
+			if !cached.row.Deleted || c.isLate != nil && len(cached.row.Value) > 0 {
 				add(cached)
 			}
 		}
--- a/target.go
+++ b/target.go
@@ -27,7 +27,7 @@
 		Slots           int    // requests that the target processes at once
 		Draining        bool
 		WarmupRemaining time.Duration // remaining time of the slow phase after a start
-		Sequence        int64         // number of the boot's write of its store entry
+		Sequence        int64         // number of the boot's write of its store entry; 0: unknown
 	}
 )
 
@@ -83,3 +83,6 @@
 // Sequence returns the number of the write that t was read from. A boot counts its
 // writes of its store entry, since an instance may receive them out of order.
 func (t Target) Sequence() int64 { return t.params.Sequence }
+
+// IsNewerThan reports whether the boot wrote t after its n-th write, as far as is known.
+func (t Target) IsNewerThan(n int64) bool { return t.Sequence() == 0 || t.Sequence() > n }
