discovery: an entry that doesn't count shows no version to a roll-out

A late entry of a target that has left, or one of another writer, made a roll-out believe that a second version is in service, so that it began to compare versions of which one is gone.

Cause: the version of an entry was recorded before the registry was asked whether the entry counts. Fix: it is recorded after, and only if it counts. The first sight of a version stays as it was for entries that do.

Evidence: TestLateEntryShowsNoVersion failed before (two versions in service), and passes.

--- a/discovery/late_entries_test.go
+++ b/discovery/late_entries_test.go
@@ -12,6 +12,7 @@
 	"github.com/ragworthitch/ragworthitch/clock"
 	"github.com/ragworthitch/ragworthitch/desired"
 	"github.com/ragworthitch/ragworthitch/registry"
+	"github.com/ragworthitch/ragworthitch/rollout"
 )
 
 // lateEntries is a TargetSink whose log and targets a test examines.
@@ -80,3 +81,16 @@
 		})
 	}
 }
+
+// Guards against a roll-out that takes the version of a target that has left for one in service.
+func TestLateEntryShowsNoVersion(t *testing.T) {
+	l := newLateEntries(t)
+	l.sink.Rollouts = &rollout.Tracker{}
+	l.change(TargetRow{ID: "b", Target: ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "b", Service: "desk", Address: "10.0.0.2:80", Zone: "z",
+		Version: "v2", Slots: 8, Sequence: 1})})
+	l.change(TargetRow{ID: "a", Gone: true, Target: entry(8).Target})
+	l.change(entry(7))
+	assert.False(t, l.sink.Rollouts.Active(), "two versions are in service")
+	l.change(entry(9))
+	assert.True(t, l.sink.Rollouts.Active())
+}
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -269,11 +269,12 @@
 	if m := s.targets.Boot(t.Boot()); m != nil {
 		changed = m.Target().Draining() != t.Draining()
 	}
-	if s.Rollouts != nil && t.Version() != "" {
-		s.Rollouts.RecordVersion(t.Service(), t.Version(), clock.Now())
-	}
 	wasAside := s.targets.AsideByID(t.ID()) != nil
 	outcome := s.targets.PutWritten(t, maxConns, s.completeAt)
+	counts := outcome != registry.Late && outcome != registry.Ignored
+	if s.Rollouts != nil && t.Version() != "" && counts {
+		s.Rollouts.RecordVersion(t.Service(), t.Version(), clock.Now())
+	}
 	switch {
 	case outcome == registry.Late && !wasAside:
 		s.logAside(s.targets.AsideByID(t.ID()))
