--- a/registry/registry.go
+++ b/registry/registry.go
@@ -98,6 +98,7 @@
 		target           ragworthitch.Target
 		sequence         int64      // the highest of the boot's registrations
 		writtenAfter     clock.Time // a time before the write of that one; 0: unknown
+		renewed          bool       // it was written again since the boot became known
 		left             bool       // the registration vanished too soon to have lapsed
 		maxConns         int        // that the target accepts from all callers; 0: unknown
 		coldUntil        clock.Time // end of the slow phase after the target's start
@@ -161,7 +162,9 @@
 // no load, health or connections of the earlier one. A registration without the
 // start time that the target had before, or that most targets have, comes from another
 // writer. A target whose address a new target registers has ended: the registration of a
-// crashed target expires seconds after its successor's has arrived.
+// crashed target expires seconds after its successor's has arrived. If the target at the address
+// wrote its registration just before, it lives, and the new one is a late write of a target
+// that had the address earlier.
 func (r *Registry) Put(t ragworthitch.Target, maxConns int) Outcome {
 	return r.PutWritten(t, maxConns, 0)
 }
@@ -198,9 +201,10 @@
 		if started == 0 && old.Target().Boot().Started() != 0 {
 			return Ignored // another writer: the target at the address has a start time
 		}
-		r.endBoot(old.Target().Boot())
-		r.drop(old)
-		r.setAsideTaken(old)
+		if r.yield(t, maxConns, writtenAfter, old) {
+			return Late
+		}
+		r.replace(old)
 	}
 	outcome := Added
 	if m != nil {
@@ -278,7 +282,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if t.Sequence() > m.sequence {
-		m.sequence, m.writtenAfter = t.Sequence(), writtenAfter
+		m.sequence, m.writtenAfter, m.renewed = t.Sequence(), writtenAfter, true
 	}
 	m.expiresAt, m.unreadable, m.target, m.maxConns = 0, false, t, maxConns
 	m.coldUntil = clock.Now().Add(t.WarmupRemaining())
@@ -316,7 +320,7 @@
 // target is removed at once.
 func (r *Registry) Unregister(id string, now, until clock.Time) {
 	r.mu.Lock()
-	delete(r.aside, id)
+	r.forgetAside(id, now)
 	m := r.byID[id]
 	r.mu.Unlock()
 	if m == nil {
@@ -324,7 +328,7 @@
 	}
 	m.mu.Lock()
 	if m.expiresAt == 0 {
-		m.expiresAt, m.left = until, m.hasLeft(now, r.heartbeat())
+		m.expiresAt, m.left = until, r.hasLeft(m.writtenAfter, now)
 	}
 	removed := m.left || until <= now
 	m.mu.Unlock()
--- a/registry/removed.go
+++ b/registry/removed.go
@@ -18,31 +18,49 @@
 	lapseHeartbeats = 3
 	leftHeartbeats  = 2.5
 
+	// aliveHeartbeats is how long after a write, in heartbeats, a target lives: an address is
+	// not given to another target sooner.
+	aliveHeartbeats = 1.5
+
 	// defaultHeartbeat is the interval of targets' writes if Registry.Heartbeat isn't set.
 	defaultHeartbeat = 1200 * time.Millisecond
 )
 
+// Why a registration is set aside.
+const (
+	asideLate  asideReason = iota // it was written before its removal
+	asideRival                    // a living target has the address
+	asideTaken                    // another target has taken the address
+)
+
 type (
+	asideReason uint8
+
 	// removal is what is remembered of a boot at an address after its registration was
 	// removed, so that a write which the store performs late doesn't make it a new target.
 	// Put asks for it when the boot is not known. The registry keeps the last maxEndedBoots
 	// removals; one ends when a registration of the boot counts again.
 	removal struct {
 		sequence int64      // the highest of its registrations; 0: unknown
-		left     bool       // it was removed while the target wrote it, or another target got its address
+		left     bool       // it was removed while the target wrote it
+		taken    bool       // another target took its address; it doesn't take that back
 		at       clock.Time // when it was read
 	}
 
 	// Aside is a registration that exists and doesn't count, as it was written before its
-	// removal. It ends when it is removed. It counts again if it still exists when every late
-	// write would have lapsed: then the target renews it. It also counts again if another
-	// target took its address, and that one's registration is removed.
+	// removal, or as another target has the address. It ends when it is removed. It counts again
+	// if it still exists when every late write would have lapsed: then the target renews it. Of
+	// two targets with one address, the second counts if the first has stopped to write and the
+	// second goes on, and either if the registration of the other is removed.
 	Aside struct {
 		target   ragworthitch.Target
 		removal  removal
 		since    clock.Time
-		taken    bool // another target took the address while the registration counted
+		reason   asideReason
+		renewed  bool // it was written again since it was set aside
 		maxConns int
+
+		writtenAfter clock.Time // a time before the write of the registration; 0: unknown
 	}
 )
 
@@ -125,11 +143,12 @@
 // keepRemoval keeps what tells late writes of a removed registration; r.mu is held.
 func (r *Registry) keepRemoval(at location, l removal) {
 	known, ok := r.removals.Get(at)
-	if ok && known.sequence >= l.sequence && known.left || l.sequence == 0 && !l.left {
-		return
+	if l.sequence == 0 && !l.left && !l.taken {
+		return // nothing tells its late writes
+	}
+	if ok {
+		l.sequence, l.left, l.taken = max(l.sequence, known.sequence), l.left || known.left, l.taken || known.taken
 	}
-	l.left = l.left || known.left
-	l.sequence = max(l.sequence, known.sequence)
 	r.removals.Max = maxEndedBoots
 	r.removals.Put(at, l)
 }
@@ -151,23 +170,69 @@
 	return true
 }
 
-// setAsideTaken sets the registration of m aside, whose address another target has taken; r.mu is
-// held.
-func (r *Registry) setAsideTaken(m *Member) {
+// replace drops a target whose address another one takes, and sets its registration aside; r.mu
+// is held.
+func (r *Registry) replace(m *Member) {
+	r.drop(m)
 	l := m.removal()
-	l.left = true
+	l.taken = true
 	r.keepRemoval(m.location(), l)
-	r.aside[m.Target().ID()] = &Aside{target: m.Target(), removal: l, since: l.at, taken: true, maxConns: m.maxConns}
+	r.aside[m.Target().ID()] = &Aside{target: m.Target(), removal: l, since: l.at, reason: asideTaken, maxConns: m.maxConns, writtenAfter: m.writtenAfter}
 }
 
-// countsAgain reports whether a registration that was set aside, and whose address no other target
-// has, counts at a time; r.mu is held.
+// yield sets a registration aside if the target that has its address keeps it, and reports whether
+// it does: the holder lives, or it has taken the address from this one; r.mu is held.
+func (r *Registry) yield(t ragworthitch.Target, maxConns int, writtenAfter clock.Time, holder *Member) bool {
+	l, _ := r.removals.Get(locationOf(t))
+	reason := asideRival
+	switch {
+	case l.taken:
+		reason = asideTaken
+	case !holder.wroteLately(r.heartbeat()):
+		return false
+	}
+	a := r.aside[t.ID()]
+	if a == nil || a.reason != reason || locationOf(a.target) != locationOf(t) {
+		now := clock.Now()
+		a = &Aside{removal: removal{at: now}, since: now, reason: reason}
+		r.aside[t.ID()] = a
+	}
+	a.renew(t, maxConns, writtenAfter)
+	return true
+}
+
+// renew applies another registration of the boot.
+func (a *Aside) renew(t ragworthitch.Target, maxConns int, writtenAfter clock.Time) {
+	if t.Sequence() > a.target.Sequence() {
+		a.renewed, a.writtenAfter = a.target.ID() != "", writtenAfter
+	}
+	a.target, a.maxConns = t, maxConns
+}
+
+// forgetAside ends the setting aside of a registration that is removed; r.mu is held.
+func (r *Registry) forgetAside(id string, now clock.Time) {
+	a := r.aside[id]
+	if a == nil {
+		return
+	}
+	delete(r.aside, id)
+	if a.reason != asideLate { // or the registration was written before an earlier removal
+		r.keepRemoval(locationOf(a.target), removal{sequence: a.target.Sequence(), left: r.hasLeft(a.writtenAfter, now), at: now})
+	}
+}
+
+// countsAgain reports whether a registration that was set aside counts at a time; r.mu is held.
 func (r *Registry) countsAgain(a *Aside, now clock.Time) bool {
-	if a.taken {
-		return true
+	holder, lapse := r.byAddr[a.target.Address()], lapseHeartbeats*r.heartbeat()
+	switch a.reason {
+	case asideTaken:
+		return holder == nil
+	case asideRival:
+		isRenewed := a.renewed || now > max(a.since, r.unavailableAt).Add(lapse)
+		return holder == nil || isRenewed && !holder.wroteLately(r.heartbeat())
 	}
 	lastLateWrite := max(a.removal.at.Add(lateWriteTime), r.unavailableAt)
-	return now > lastLateWrite.Add(lapseHeartbeats*r.heartbeat())
+	return holder == nil && now > lastLateWrite.Add(lapse)
 }
 
 // restoreAside makes the registrations count again for which it is time, and returns them;
@@ -179,22 +244,31 @@
 			delete(r.aside, id) // another boot of the target counts
 			continue
 		}
-		if r.byAddr[a.target.Address()] != nil || !r.countsAgain(a, now) {
+		if !r.countsAgain(a, now) {
 			continue
 		}
 		delete(r.aside, id)
-		r.ended.Delete(id)
-		r.add(a.target, a.maxConns, 0)
+		if holder := r.byAddr[a.target.Address()]; holder != nil {
+			r.replace(holder)
+		}
+		r.add(a.target, a.maxConns, a.writtenAfter)
 		restored = append(restored, a)
 	}
 	return restored
 }
 
-// hasLeft reports whether a registration that is removed by now can't have lapsed, since it was
-// written too short a time before; m.mu is held.
-func (m *Member) hasLeft(now clock.Time, heartbeat time.Duration) bool {
-	silence := now.Sub(m.writtenAfter)
-	return m.writtenAfter != 0 && silence < time.Duration(leftHeartbeats*float64(heartbeat))
+// hasLeft reports whether a registration that was written after a time and is removed by now can't
+// have lapsed, since too short a time has passed.
+func (r *Registry) hasLeft(writtenAfter, now clock.Time) bool {
+	return writtenAfter != 0 && now.Sub(writtenAfter) < time.Duration(leftHeartbeats*float64(r.heartbeat()))
+}
+
+// wroteLately reports whether the target goes on writing its registration, and did so short a
+// time ago that it lives.
+func (m *Member) wroteLately(heartbeat time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.renewed && m.writtenAfter != 0 && clock.Now().Sub(m.writtenAfter) < time.Duration(aliveHeartbeats*float64(heartbeat))
 }
 
 // raiseSequence records the sequence number of a registration of the boot.
