--- a/scripts/soakbugs.py
+++ b/scripts/soakbugs.py
@@ -29,6 +29,7 @@
     "an older state is in force now and then": ("REVERTED", "desired/tracker.go", "	current := t.current.Load()\n	g :=", "	current := t.current.Load()\n	if p := t.old.Load(); p != nil && now%5 == 0 {\n		current = p\n	}\n	g :=",
         "desired/tracker.go", "current    atomic.Pointer[table]", "current, old atomic.Pointer[table]", "desired/tracker.go", "	t.current.Store(newTable(d))", "	t.old.Store(t.current.Load())\n	t.current.Store(newTable(d))"),
     "targets that leave get work": ("DRAIN", "registry/draining.go", "	return m.target.Draining() || m.draining", "	return m.draining"),
+    "a removed entry leaves no trace": ("DRAIN", "registry/removed.go", "bool { return l.left || !t.IsNewerThan(l.sequence) }", "bool { return false }"),
     "heads of errors are not read": ("REST", "platform/sender.go", "	state := decodeTargetState(resp)\n", "	if resp.StatusCode/100 != 2 {\n\t\treturn\n\t}\n	state := decodeTargetState(resp)\n"),
     "safe calls go past the bars": ("DRAIN", "ingress/poison.go", "	if !m.AcceptsCalls(now) {", "	if c.grant.Route.Kind() == ragworthitch.CallSafe && m.Health().Usable(now) {\n\t\treturn true\n\t}\n	if !m.AcceptsCalls(now) {",
         "ingress/call.go", "	return r.Member.Barred(clock.Now())\n", "	return nil\n"),
@@ -67,6 +68,7 @@
 
 # Bugs that are detected with a plan file instead of seeds.
 PLANS = {
+    "a removed entry leaves no trace": "testdata/soak/late-removal.yaml",
     "the verdict is forgotten at a restart": "testdata/soak/all-killed-after-verdict.yaml",
     "crashes count for each request only": "testdata/soak/poison-part.yaml",
     "the last part of a prompt is not looked at": "testdata/soak/part-last.yaml",
--- a/soak/nodes.go
+++ b/soak/nodes.go
@@ -121,9 +121,13 @@
 	t.idCount++
 	id := fmt.Sprintf("i-%s-%d", t.name, t.idCount)
 	return TargetConfig{ID: id, Node: t.name, Service: service, Zone: t.zone, Store: t.storeAddr, FirstEvent: t.firstEvent,
-		Records: filepath.Join(t.recordDir, id+recordsSuffix)}
+		Records: filepath.Join(t.recordDir, id+recordsSuffix), Unannounced: t.leavesUnannounced()}
 }
 
+// leavesUnannounced reports whether the latest process leaves without a row that says so: every
+// second one of a target, and the first ones of half of the targets. t.mu is held.
+func (t *target) leavesUnannounced() bool { return (t.idCount+int(t.name[len(t.name)-1]))%2 == 0 }
+
 // start starts a process with the config and opens the links to it. It allocates an
 // address if the config has none.
 func (t *target) start(x *execution, c TargetConfig) error {
--- a/soak/target.go
+++ b/soak/target.go
@@ -30,6 +30,9 @@
 	// draining. It runs for drainExtra longer, to record calls that should not arrive.
 	drainPeriod = 2 * time.Second
 	drainExtra  = 4 * time.Second
+	// lateRowDelay is how long after the removal of its row a target's late write is
+	// performed.
+	lateRowDelay = 1500 * time.Millisecond
 
 	pathReplica     = "/soak/copy"  // keeps a replica; parameters call, events
 	pathLoseAnswers = "/soak/loses" // loses answers; parameter ms
@@ -49,6 +52,10 @@
 		Records string `json:"records"` // file that records are appended to
 		StepMs  int    `json:"stepMs"`  // clock step
 
+		// Unannounced targets leave without a row that says that they are draining: their row is
+		// removed. The store performs one of their heartbeats after that.
+		Unannounced bool `json:"unannounced"`
+
 		FirstEvent time.Duration `json:"firstEvent"` // of an engine
 	}
 
@@ -93,13 +100,38 @@
 	defer stop()
 	go watchStalls(running, t.recordStall)
 	t.heartbeat(ctx)
-	t.standIn.SayDraining()
-	for t.writeRow(true) != nil {
+	var end time.Time
+	if t.cfg.Unannounced {
+		end = t.leaveUnannounced()
+	} else {
+		t.standIn.SayDraining()
+		end = t.recordDraining(func() error { return t.writeRow(true) })
+	}
+	time.Sleep(time.Until(end.Add(drainPeriod + drainExtra)))
+	return nil
+}
+
+// recordDraining makes a change of the row that says that the target leaves, until the store has
+// acknowledged it, and records that. It returns the time of the acknowledgement.
+func (t *Target) recordDraining(change func() error) time.Time {
+	for change() != nil {
 		time.Sleep(replicaInterval)
 	}
 	t.writeRecord(Record{Kind: RecordDraining})
-	time.Sleep(drainPeriod + drainExtra)
-	return nil
+	return time.Now()
+}
+
+// leaveUnannounced removes the row, and writes an earlier one after it as the store does that
+// performs a write late. It returns the time of the removal.
+func (t *Target) leaveUnannounced() time.Time {
+	removedAt := t.recordDraining(func() error {
+		return platform.ExternalRow{Table: platform.TableTargets, Key: t.cfg.ID, Deleted: true}.Send(&t.http, t.cfg.Store)
+	})
+	time.Sleep(lateRowDelay)
+	if err := t.putRow(t.rowSequence.Load(), false); err != nil {
+		fmt.Println("target: late row not written:", err)
+	}
+	return removedAt
 }
 
 // heartbeat writes the target's row at intervals until ctx ends. A failed write is only
@@ -115,9 +147,12 @@
 	}
 }
 
-func (t *Target) writeRow(draining bool) error {
+func (t *Target) writeRow(draining bool) error { return t.putRow(t.rowSequence.Add(1), draining) }
+
+// putRow writes the row with a sequence number.
+func (t *Target) putRow(sequence int64, draining bool) error {
 	b, err := platform.EncodeTarget(ragworthitch.NewTarget(ragworthitch.TargetParams{ID: t.cfg.ID, Started: t.bootTimeMs, Service: t.cfg.Service,
-		Address: t.cfg.Listen, Zone: t.cfg.Zone, Slots: targetSlots, Draining: draining, Sequence: t.rowSequence.Add(1)}))
+		Address: t.cfg.Listen, Zone: t.cfg.Zone, Slots: targetSlots, Draining: draining, Sequence: sequence}))
 	if err != nil {
 		return err
 	}
