discovery: a read of the whole table doesn't say when an entry was written

Found in reading the change.

Cause: an entry that is new in a read was taken for written since the last one. That holds for changes. A whole table also holds heartbeats that a peer hadn't passed on, up to 10 s old; if the removal followed soon, the lapse looked like a target that leaves while it writes.

Fix: the time of the write counts as unknown in a whole read.

Evidence: TestWholeReadTellsNoTimeOfWrite failed before for whole reads, and passes; for changes it holds on both.

--- a/discovery/late_entries_test.go
+++ b/discovery/late_entries_test.go
@@ -65,6 +65,24 @@
 	assert.NotNil(t, l.targets.ByID("a"), "the target wrote a newer entry")
 }
 
+// Guards against a target that is taken to have left, though its entry lapsed, since its last
+// heartbeat was read with the whole table: peers pass on few heartbeats, so that nothing says
+// when that one was written. One that was read as a change had just been written.
+func TestWholeReadTellsNoTimeOfWrite(t *testing.T) {
+	for name, read := range map[string]func(l *lateEntries, rows ...TargetRow){"whole": (*lateEntries).read, "changes": (*lateEntries).change} {
+		t.Run(name, func(t *testing.T) {
+			l := newLateEntries(t)
+			l.read(entry(2))
+			l.change()
+			read(l, entry(5))
+			l.read()
+			l.wantUnknown()
+			l.change(entry(6))
+			assert.Equal(t, name == "whole", l.targets.ByID("a") != nil)
+		})
+	}
+}
+
 // Guards against a late entry at an instance that hears of few of a target's writes, or of none
 // before its removal: who reads the store tells it the last one.
 func TestLateEntryAfterToldRemoval(t *testing.T) {
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -205,6 +205,7 @@
 		}
 	}
 	sortByStart(rows)
+	s.completeAt = 0 // it may hold earlier writes that weren't passed on, as mere heartbeats
 	s.ApplyChanges(rows, at)
 	s.onRead()
 }
--- a/registry/removed.go
+++ b/registry/removed.go
@@ -174,10 +174,18 @@
 // is held.
 func (r *Registry) replace(m *Member) {
 	r.drop(m)
+	a := m.asideTaken()
+	r.keepRemoval(m.location(), a.removal)
+	r.aside[a.target.ID()] = a
+}
+
+// asideTaken returns the registration of a target whose address is taken now.
+func (m *Member) asideTaken() *Aside {
 	l := m.removal()
 	l.taken = true
-	r.keepRemoval(m.location(), l)
-	r.aside[m.Target().ID()] = &Aside{target: m.Target(), removal: l, since: l.at, reason: asideTaken, maxConns: m.maxConns, writtenAfter: m.writtenAfter}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Aside{target: m.target, removal: l, since: l.at, reason: asideTaken, maxConns: m.maxConns, writtenAfter: m.writtenAfter}
 }
 
 // yield sets a registration aside if the target that has its address keeps it, and reports whether
