registry, discovery: the log says why an entry is set aside, and when a target loses its address

Found in reading the change. The line said that the target had left, also of one whose address another target holds, and nothing was logged when a target lost its address. Now the line has a reason (late, rival, taken), once for each. Names: one for a location and one for a time in removed.go, a constant and a method no longer share one; comments that said less than the code does.

No decision changes.

--- a/discovery/late_entries_test.go
+++ b/discovery/late_entries_test.go
@@ -112,3 +112,13 @@
 	l.change(entry(9))
 	assert.True(t, l.sink.Rollouts.Active())
 }
+
+// Guards against a log that doesn't say that a target has lost its address, and to whom.
+func TestTakenAddressIsLogged(t *testing.T) {
+	l := newLateEntries(t)
+	l.change(entry(4))
+	l.change(TargetRow{ID: "b", Target: ragworthitch.NewTarget(ragworthitch.TargetParams{ID: "b", Service: "desk", Address: "10.0.0.1:80", Zone: "z", Slots: 8, Sequence: 1})})
+	assert.Contains(t, l.log.String(), `"reason":"taken"`)
+	l.change(TargetRow{ID: "b", Gone: true})
+	assert.Contains(t, l.log.String(), `"cause":"counts again"`)
+}
--- a/discovery/sinks.go
+++ b/discovery/sinks.go
@@ -89,7 +89,7 @@
 		log          zerolog.Logger
 		// Rollouts receives the versions of targets; may be nil.
 		Rollouts *rollout.Tracker
-		// SetAside counts the late entries that were set aside; may be nil.
+		// SetAside counts the entries that were set aside; may be nil.
 		SetAside      tally.Counter
 		unavailableAt clock.Time // when the store was last unavailable; 0: never
 		completeAt    clock.Time // all changes up to then have been applied; 0: none
@@ -270,12 +270,17 @@
 	if m := s.targets.Boot(t.Boot()); m != nil {
 		changed = m.Target().Draining() != t.Draining()
 	}
-	wasAside := s.targets.AsideByID(t.ID()) != nil
+	wasAside, holder := s.targets.AsideByID(t.ID()) != nil, s.targets.ByAddress(t.Address())
 	outcome := s.targets.PutWritten(t, maxConns, s.completeAt)
 	counts := outcome != registry.Late && outcome != registry.Ignored
 	if s.Rollouts != nil && t.Version() != "" && counts {
 		s.Rollouts.RecordVersion(t.Service(), t.Version(), clock.Now())
 	}
+	if holder != nil && holder.Target().ID() != t.ID() && counts {
+		if a := s.targets.AsideByID(holder.Target().ID()); a != nil {
+			s.logAside(a)
+		}
+	}
 	switch {
 	case outcome == registry.Late && !wasAside:
 		s.logAside(s.targets.AsideByID(t.ID()))
@@ -290,7 +295,7 @@
 	if s.SetAside != nil {
 		s.SetAside.Inc(1)
 	}
-	asideEvent(s.log, a).Msg("discovery: late target entry set aside; the target had left before")
+	asideEvent(s.log, a).Msg("discovery: target entry set aside")
 }
 
 // logAsideEnd logs that an entry is no longer set aside, and why.
@@ -300,7 +305,7 @@
 
 func asideEvent(log zerolog.Logger, a *registry.Aside) *zerolog.Event {
 	t := a.Target()
-	return log.Info().Str("target", t.ID()).Int64("started", t.Boot().Started()).Str("address", t.Address()).Str("service", t.Service()).Int64("sequence", t.Sequence()).
+	return log.Info().Str("target", t.ID()).Int64("started", t.Boot().Started()).Str("address", t.Address()).Str("service", t.Service()).Str("reason", string(a.Reason())).Int64("sequence", t.Sequence()).
 		Int64("lastSequence", a.LastSequence()).Bool("left", a.Left()).Dur("removedFor", clock.Now().Sub(a.RemovedAt()))
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -28,8 +28,8 @@
 	// Ignored: the registration is of an ended boot, precedes the known one of the boot, or
 	// lacks the start time that others have.
 	Ignored Outcome = "ignored"
-	// Late: the registration precedes the removal of the boot's registration, and is set
-	// aside.
+	// Late: the registration precedes the removal of the boot's registration, or another
+	// target keeps its address; it is set aside.
 	Late Outcome = "late"
 	// Known: the boot was known, and its registration has been updated.
 	Known Outcome = "known"
@@ -201,7 +201,7 @@
 		if started == 0 && old.Target().Boot().Started() != 0 {
 			return Ignored // another writer: the target at the address has a start time
 		}
-		if r.yield(t, maxConns, writtenAfter, old) {
+		if r.yieldAddress(t, maxConns, writtenAfter, old) {
 			return Late
 		}
 		r.replace(old)
--- a/registry/removed.go
+++ b/registry/removed.go
@@ -26,15 +26,16 @@
 	defaultHeartbeat = 1200 * time.Millisecond
 )
 
-// Why a registration is set aside.
+// Reasons to set a registration aside.
 const (
-	asideLate  asideReason = iota // it was written before its removal
-	asideRival                    // a living target has the address
-	asideTaken                    // another target has taken the address
+	AsideLate  AsideReason = "late"  // it was written before its removal
+	AsideRival AsideReason = "rival" // a living target has the address
+	AsideTaken AsideReason = "taken" // another target has taken the address
 )
 
 type (
-	asideReason uint8
+	// AsideReason is why a registration is set aside.
+	AsideReason string
 
 	// removal is what is remembered of a boot at an address after its registration was
 	// removed, so that a write which the store performs late doesn't make it a new target.
@@ -56,7 +57,7 @@
 		target   ragworthitch.Target
 		removal  removal
 		since    clock.Time
-		reason   asideReason
+		reason   AsideReason
 		renewed  bool // it was written again since it was set aside
 		maxConns int
 
@@ -67,6 +68,9 @@
 // Target returns the registration.
 func (a *Aside) Target() ragworthitch.Target { return a.target }
 
+// Reason returns why the registration is set aside.
+func (a *Aside) Reason() AsideReason { return a.reason }
+
 // LastSequence returns the highest sequence number before the removal.
 func (a *Aside) LastSequence() int64 { return a.removal.sequence }
 
@@ -95,12 +99,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.makeMaps()
-	at := locationOf(last)
-	if m := r.byID[last.ID()]; m != nil && m.location() == at {
+	loc := locationOf(last)
+	if m := r.byID[last.ID()]; m != nil && m.location() == loc {
 		m.raiseSequence(last.Sequence())
 		return
 	}
-	r.keepRemoval(at, removal{sequence: last.Sequence(), at: clock.Now()})
+	r.keepRemoval(loc, removal{sequence: last.Sequence(), at: clock.Now()})
 }
 
 // RecordUnavailable records that the store was unavailable at a time. Registrations may not lapse
@@ -111,7 +115,7 @@
 	r.unavailableAt = max(r.unavailableAt, at)
 }
 
-// IsSetAside reports whether Put would set a registration aside.
+// IsSetAside reports whether Put would set a registration aside as written before its removal.
 func (r *Registry) IsSetAside(t ragworthitch.Target) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -141,8 +145,8 @@
 }
 
 // keepRemoval keeps what tells late writes of a removed registration; r.mu is held.
-func (r *Registry) keepRemoval(at location, l removal) {
-	known, ok := r.removals.Get(at)
+func (r *Registry) keepRemoval(loc location, l removal) {
+	known, ok := r.removals.Get(loc)
 	if l.sequence == 0 && !l.left && !l.taken {
 		return // nothing tells its late writes
 	}
@@ -150,7 +154,7 @@
 		l.sequence, l.left, l.taken = max(l.sequence, known.sequence), l.left || known.left, l.taken || known.taken
 	}
 	r.removals.Max = maxEndedBoots
-	r.removals.Put(at, l)
+	r.removals.Put(loc, l)
 }
 
 // setAside sets a registration aside if it was written before the removal of its boot's
@@ -163,7 +167,7 @@
 	now := clock.Now()
 	a := r.aside[t.ID()]
 	if a == nil || locationOf(a.target) != locationOf(t) {
-		a = &Aside{removal: l, since: now}
+		a = &Aside{removal: l, since: now, reason: AsideLate}
 		r.aside[t.ID()] = a
 	}
 	a.target, a.maxConns = t, maxConns
@@ -174,28 +178,28 @@
 // is held.
 func (r *Registry) replace(m *Member) {
 	r.drop(m)
-	a := m.asideTaken()
+	a := m.aside()
 	r.keepRemoval(m.location(), a.removal)
 	r.aside[a.target.ID()] = a
 }
 
-// asideTaken returns the registration of a target whose address is taken now.
-func (m *Member) asideTaken() *Aside {
+// aside returns the registration as set aside, because another target takes the address now.
+func (m *Member) aside() *Aside {
 	l := m.removal()
 	l.taken = true
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &Aside{target: m.target, removal: l, since: l.at, reason: asideTaken, maxConns: m.maxConns, writtenAfter: m.writtenAfter}
+	return &Aside{target: m.target, removal: l, since: l.at, reason: AsideTaken, maxConns: m.maxConns, writtenAfter: m.writtenAfter}
 }
 
-// yield sets a registration aside if the target that has its address keeps it, and reports whether
+// yieldAddress sets a registration aside if the target that has its address keeps it, and reports whether
 // it does: the holder lives, or it has taken the address from this one; r.mu is held.
-func (r *Registry) yield(t ragworthitch.Target, maxConns int, writtenAfter clock.Time, holder *Member) bool {
+func (r *Registry) yieldAddress(t ragworthitch.Target, maxConns int, writtenAfter clock.Time, holder *Member) bool {
 	l, _ := r.removals.Get(locationOf(t))
-	reason := asideRival
+	reason := AsideRival
 	switch {
 	case l.taken:
-		reason = asideTaken
+		reason = AsideTaken
 	case !holder.wroteLately(r.heartbeat()):
 		return false
 	}
@@ -224,7 +228,7 @@
 		return
 	}
 	delete(r.aside, id)
-	if a.reason != asideLate { // or the registration was written before an earlier removal
+	if a.reason != AsideLate { // or the registration was written before an earlier removal
 		r.keepRemoval(locationOf(a.target), removal{sequence: a.target.Sequence(), left: r.hasLeft(a.writtenAfter, now), at: now})
 	}
 }
@@ -233,9 +237,9 @@
 func (r *Registry) countsAgain(a *Aside, now clock.Time) bool {
 	holder, lapse := r.byAddr[a.target.Address()], lapseHeartbeats*r.heartbeat()
 	switch a.reason {
-	case asideTaken:
+	case AsideTaken:
 		return holder == nil
-	case asideRival:
+	case AsideRival:
 		isRenewed := a.renewed || now > max(a.since, r.unavailableAt).Add(lapse)
 		return holder == nil || isRenewed && !holder.wroteLately(r.heartbeat())
 	}
